Set down the workspace, the core types and the interfaces of each package

Cause: the repository is empty; the parts need fixed interfaces before they can be written side by side.

Conclusion: the remaining packages can be built against these headers.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,26 @@
+# Thin wrappers around CMake and CTest.
+JOBS ?= $(shell nproc)
+BUILD ?= build
+
+.PHONY: setup build run test format lint bench bench-smoke sanitize
+
+setup:
+	tools/setup
+
+build: setup
+	cmake -S . -B $(BUILD) -G Ninja -DCMAKE_BUILD_TYPE=RelWithDebInfo
+	cmake --build $(BUILD) -j $(JOBS)
+
+run: build
+	tools/run_example $(BUILD)
+
+test: build
+	tools/check_format
+	tools/check_lint $(BUILD)
+	tools/run_tests $(BUILD)
+
+format:
+	tools/check_format --fix
+
+lint: build
+	tools/check_lint $(BUILD)
--- /dev/null
+++ b/src/include/egretrack/telemetry/metrics.h
@@ -0,0 +1,36 @@
+#ifndef EGRETRACK_TELEMETRY_METRICS_H_
+#define EGRETRACK_TELEMETRY_METRICS_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "egretrack/base/time.h"
+
+// Metrics of one process, by Boost.Accumulators, in the Prometheus text
+// format. Owned by the control thread.
+namespace egretrack::telemetry {
+
+class metrics {
+ public:
+  static std::unique_ptr<metrics> Create();
+  virtual ~metrics() = default;
+
+  // `labels` as in `kind="quote"`; empty for none.
+  virtual void SetCounter(std::string_view name,
+                          std::string_view labels,
+                          std::uint64_t value) = 0;
+  virtual void SetGauge(std::string_view name,
+                        std::string_view labels,
+                        double value) = 0;
+  // Adds one observation to a summary with count, mean, p50, p99 and maximum.
+  virtual void Observe(std::string_view name,
+                       std::string_view labels,
+                       double value) = 0;
+  virtual std::string ToText() const = 0;
+};
+
+}  // namespace egretrack::telemetry
+
+#endif  // EGRETRACK_TELEMETRY_METRICS_H_
--- /dev/null
+++ b/src/include/egretrack/wire/messages.h
@@ -0,0 +1,185 @@
+#ifndef EGRETRACK_WIRE_MESSAGES_H_
+#define EGRETRACK_WIRE_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "egretrack/base/ids.h"
+#include "egretrack/base/time.h"
+
+// Messages between entries and agents, as plain values. The codec is in
+// codec.h; nothing here depends on the encoding.
+namespace egretrack::wire {
+
+// What an agent knows of a task.
+enum class task_state : std::uint8_t {
+  kRefused = 1,   // Never started by this agent and never will be.
+  kStarted = 2,   // Handed to the endpoint, no result yet.
+  kFinished = 3,  // The endpoint answered with a result.
+  kFailed = 4,    // The endpoint answered with a failure.
+  kCut = 5,       // The connection to the endpoint broke; it may have run.
+};
+
+// Why a task was refused or failed.
+enum class task_reason : std::uint8_t {
+  kNone = 0,
+  kNoSlot,
+  kStartByPassed,
+  kNoEndpoint,
+  kDraining,
+  kCancelled,
+  kFenced,
+  kRecordsFull,
+  kEndpointRefused,
+  kEndpointFailed,
+  kEndpointCut,
+};
+
+// ---- Agent to entry -------------------------------------------------------
+
+// First message of a connection. `endpoint` is empty while none is announced.
+struct hello {
+  std::string agent;
+  incarnation agent_incarnation{};
+  std::string endpoint;
+  std::string failure_domain;
+  std::uint32_t slots = 0;
+  std::uint64_t config_version = 0;
+  bool draining = false;
+};
+
+struct heartbeat {
+  std::uint64_t sequence = 0;
+  std::string endpoint;  // As in hello; a change takes effect at once.
+  std::uint32_t slots = 0;
+  std::uint32_t slots_in_use = 0;
+  std::uint64_t config_version = 0;
+  std::uint64_t granted_total = 0;
+  bool draining = false;
+};
+
+// Credits granted since the connection was opened.
+struct grant {
+  std::uint64_t granted_total = 0;
+};
+
+// Asks for up to `count` idle credits back.
+struct recall {
+  std::uint32_t count = 0;
+};
+
+// Answer to a dispatch (when the task ended or was refused) or to a query.
+struct task_report {
+  job_id job;
+  task_index task = 0;
+  dispatch_number dispatch{};
+  task_state state = task_state::kRefused;
+  task_reason reason = task_reason::kNone;
+  microseconds run_time{0};   // Between hand-over and the endpoint's answer.
+  microseconds wait_time{0};  // Between arrival at the agent and hand-over.
+  std::uint64_t granted_total = 0;
+  std::string result;
+};
+
+struct task_record {
+  task_index task = 0;
+  std::uint32_t task_count = 0;
+  task_state state = task_state::kRefused;
+  task_reason reason = task_reason::kNone;
+  std::string result;
+};
+
+// Answer to job_lookup: all records of one job; may be empty.
+struct job_records {
+  std::uint64_t lookup = 0;
+  job_id job;
+  std::vector<task_record> records;
+};
+
+// Sent in answer to a heartbeat_reply that named a lower version or none, so
+// that an entry that starts during a table outage learns the configuration.
+struct config_offer {
+  std::uint64_t version = 0;
+  std::string document;
+};
+
+using agent_message = std::variant<hello,
+                                   heartbeat,
+                                   grant,
+                                   recall,
+                                   task_report,
+                                   job_records,
+                                   config_offer>;
+
+// ---- Entry to agent -------------------------------------------------------
+
+struct heartbeat_reply {
+  std::string entry;
+  incarnation entry_incarnation{};
+  std::uint64_t sequence = 0;   // Of the heartbeat that is answered.
+  monotonic_time entry_time{};  // The entry's monotonic clock.
+  std::uint64_t config_version = 0;
+  std::string config_document;     // Only when the agent's version is lower.
+  std::uint32_t queue_length = 0;  // Tasks that this agent could run now.
+};
+
+struct release {
+  std::uint64_t released_total = 0;  // Since the connection was opened.
+};
+
+struct dispatch {
+  job_id job;
+  task_index task = 0;
+  std::uint32_t task_count = 0;
+  dispatch_number number{};
+  std::string kind;
+  monotonic_time start_by{};       // On the home entry's monotonic clock.
+  std::uint32_t queue_length = 0;  // Tasks left that this agent could run now.
+  std::string payload;
+};
+
+// Asks for the state of a task; the agent refuses the task for good when it
+// has no record of it.
+struct task_query {
+  job_id job;
+  task_index task = 0;
+  std::uint32_t task_count = 0;
+  dispatch_number dispatch{};
+};
+
+// Refuses all tasks of a job that have not started.
+struct job_cancel {
+  job_id job;
+};
+
+// Asks for records only; starts and refuses nothing.
+struct job_lookup {
+  std::uint64_t lookup = 0;
+  job_id job;
+};
+
+struct drain_request {};
+
+using entry_message = std::variant<heartbeat_reply,
+                                   release,
+                                   dispatch,
+                                   task_query,
+                                   job_cancel,
+                                   job_lookup,
+                                   drain_request>;
+
+// Messages that travel together in one frame of one connection.
+struct agent_frame {
+  connection_number connection{};
+  std::vector<agent_message> messages;
+};
+struct entry_frame {
+  connection_number connection{};
+  std::vector<entry_message> messages;
+};
+
+}  // namespace egretrack::wire
+
+#endif  // EGRETRACK_WIRE_MESSAGES_H_
