--- a/Makefile
+++ b/Makefile
@@ -22,5 +22,14 @@
 format:
 	tools/check_format --fix
 
+sanitize: setup
+	tools/check_sanitizers $(JOBS)
+
+bench-smoke: build
+	tools/bench $(BUILD) smoke
+
+bench: build
+	tools/bench $(BUILD) full
+
 lint: build
 	tools/check_lint $(BUILD)
