--- a/src/include/egretrack/wire/codec.h
+++ b/src/include/egretrack/wire/codec.h
@@ -10,6 +10,9 @@
 
 namespace egretrack::wire {
 
+// Largest frame that decoding accepts.
+inline constexpr std::size_t kMaxFrameBytes = 64U << 20U;
+
 std::string EncodeAgentFrame(connection_number connection,
                              std::span<const agent_message> messages);
 std::string EncodeEntryFrame(connection_number connection,
--- a/src/include/egretrack/wire/messages.h
+++ b/src/include/egretrack/wire/messages.h
@@ -13,6 +13,10 @@
 // codec.h; nothing here depends on the encoding.
 namespace egretrack::wire {
 
+// Limits that decoding enforces.
+inline constexpr std::uint32_t kMaxTaskCount = 1200;  // Tasks of a job.
+inline constexpr std::uint32_t kMaxSlots = 65536;
+
 // What an agent knows of a task.
 enum class task_state : std::uint8_t {
   kRefused = 1,   // Never started by this agent and never will be.
@@ -48,6 +52,8 @@
   std::uint32_t slots = 0;
   std::uint64_t config_version = 0;
   bool draining = false;
+
+  bool operator==(const hello&) const = default;
 };
 
 struct heartbeat {
@@ -58,16 +64,22 @@
   std::uint64_t config_version = 0;
   std::uint64_t granted_total = 0;
   bool draining = false;
+
+  bool operator==(const heartbeat&) const = default;
 };
 
 // Credits granted since the connection was opened.
 struct grant {
   std::uint64_t granted_total = 0;
+
+  bool operator==(const grant&) const = default;
 };
 
 // Asks for up to `count` idle credits back.
 struct recall {
   std::uint32_t count = 0;
+
+  bool operator==(const recall&) const = default;
 };
 
 // Answer to a dispatch (when the task ended or was refused) or to a query.
@@ -81,6 +93,8 @@
   microseconds wait_time{0};  // Between arrival at the agent and hand-over.
   std::uint64_t granted_total = 0;
   std::string result;
+
+  bool operator==(const task_report&) const = default;
 };
 
 struct task_record {
@@ -89,6 +103,8 @@
   task_state state = task_state::kRefused;
   task_reason reason = task_reason::kNone;
   std::string result;
+
+  bool operator==(const task_record&) const = default;
 };
 
 // Answer to job_lookup: all records of one job; may be empty.
@@ -96,6 +112,8 @@
   std::uint64_t lookup = 0;
   job_id job;
   std::vector<task_record> records;
+
+  bool operator==(const job_records&) const = default;
 };
 
 // Sent in answer to a heartbeat_reply that named a lower version or none, so
@@ -103,6 +121,8 @@
 struct config_offer {
   std::uint64_t version = 0;
   std::string document;
+
+  bool operator==(const config_offer&) const = default;
 };
 
 using agent_message = std::variant<hello,
@@ -123,10 +143,14 @@
   std::uint64_t config_version = 0;
   std::string config_document;     // Only when the agent's version is lower.
   std::uint32_t queue_length = 0;  // Tasks that this agent could run now.
+
+  bool operator==(const heartbeat_reply&) const = default;
 };
 
 struct release {
   std::uint64_t released_total = 0;  // Since the connection was opened.
+
+  bool operator==(const release&) const = default;
 };
 
 struct dispatch {
@@ -138,6 +162,8 @@
   monotonic_time start_by{};       // On the home entry's monotonic clock.
   std::uint32_t queue_length = 0;  // Tasks left that this agent could run now.
   std::string payload;
+
+  bool operator==(const dispatch&) const = default;
 };
 
 // Asks for the state of a task; the agent refuses the task for good when it
@@ -147,20 +173,28 @@
   task_index task = 0;
   std::uint32_t task_count = 0;
   dispatch_number dispatch{};
+
+  bool operator==(const task_query&) const = default;
 };
 
 // Refuses all tasks of a job that have not started.
 struct job_cancel {
   job_id job;
+
+  bool operator==(const job_cancel&) const = default;
 };
 
 // Asks for records only; starts and refuses nothing.
 struct job_lookup {
   std::uint64_t lookup = 0;
   job_id job;
+
+  bool operator==(const job_lookup&) const = default;
 };
 
-struct drain_request {};
+struct drain_request {
+  bool operator==(const drain_request&) const = default;
+};
 
 using entry_message = std::variant<heartbeat_reply,
                                    release,
@@ -174,10 +208,14 @@
 struct agent_frame {
   connection_number connection{};
   std::vector<agent_message> messages;
+
+  bool operator==(const agent_frame&) const = default;
 };
 struct entry_frame {
   connection_number connection{};
   std::vector<entry_message> messages;
+
+  bool operator==(const entry_frame&) const = default;
 };
 
 }  // namespace egretrack::wire
--- /dev/null
+++ b/src/wire/tests/codec_test.cc
@@ -0,0 +1,264 @@
+#include "egretrack/wire/codec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <chrono>
+#include <string>
+
+namespace egretrack::wire {
+namespace {
+
+constexpr connection_number kConnection{7};
+
+std::string Name() {
+  static const std::string kLetters = "abcdefghijklmnopqrstuvwxyz0123456789-";
+  const auto size = *rc::gen::inRange<std::size_t>(1, 65);
+  return *rc::gen::container<std::string>(size, rc::gen::elementOf(kLetters));
+}
+
+std::string Bytes() {
+  return *rc::gen::container<std::string>(rc::gen::arbitrary<char>());
+}
+
+template <typename T>
+T Any() {
+  return *rc::gen::arbitrary<T>();
+}
+
+job_id Job() {
+  const auto created = Any<std::uint64_t>() & 0xffffffffffffU;
+  return {Name(), incarnation{Any<std::uint64_t>()}, created,
+          Any<std::uint64_t>()};
+}
+
+microseconds Duration() {
+  return microseconds(
+      *rc::gen::inRange<std::int64_t>(0, std::int64_t{1} << 60));
+}
+
+task_state State() {
+  return static_cast<task_state>(*rc::gen::inRange(1, 6));
+}
+
+task_reason Reason() {
+  return static_cast<task_reason>(*rc::gen::inRange(0, 11));
+}
+
+std::uint32_t Slots() {
+  return *rc::gen::inRange<std::uint32_t>(0, kMaxSlots + 1);
+}
+
+dispatch_number Number() {
+  return dispatch_number{*rc::gen::inRange<std::uint32_t>(1, UINT32_MAX)};
+}
+
+task_record Record() {
+  return {3, 4, State(), Reason(), Bytes()};
+}
+
+agent_message AgentMessage() {
+  switch (*rc::gen::inRange(0, 7)) {
+    case 0:
+      return hello{Name(),     incarnation{Any<std::uint64_t>()},
+                   Name(),     Name(),
+                   Slots(),    Any<std::uint64_t>(),
+                   Any<bool>()};
+    case 1:
+      return heartbeat{Any<std::uint64_t>(),
+                       "",
+                       Slots(),
+                       Slots(),
+                       Any<std::uint64_t>(),
+                       Any<std::uint64_t>(),
+                       Any<bool>()};
+    case 2:
+      return grant{Any<std::uint64_t>()};
+    case 3:
+      return recall{Any<std::uint32_t>()};
+    case 4:
+      return task_report{Job(),    1199,       Number(),   State(),
+                         Reason(), Duration(), Duration(), Any<std::uint64_t>(),
+                         Bytes()};
+    case 5:
+      return job_records{Any<std::uint64_t>(), Job(), {Record(), Record()}};
+    default:
+      return config_offer{*rc::gen::inRange<std::uint64_t>(1, UINT64_MAX),
+                          Bytes()};
+  }
+}
+
+entry_message EntryMessage() {
+  switch (*rc::gen::inRange(0, 7)) {
+    case 0:
+      return heartbeat_reply{Name(),
+                             incarnation{Any<std::uint64_t>()},
+                             Any<std::uint64_t>(),
+                             monotonic_time(Duration()),
+                             Any<std::uint64_t>(),
+                             Bytes(),
+                             Any<std::uint32_t>()};
+    case 1:
+      return release{Any<std::uint64_t>()};
+    case 2:
+      return dispatch{Job(),
+                      0,
+                      *rc::gen::inRange<std::uint32_t>(1, kMaxTaskCount + 1),
+                      Number(),
+                      Name(),
+                      monotonic_time(Duration()),
+                      Any<std::uint32_t>(),
+                      Bytes()};
+    case 3:
+      return task_query{Job(), 1199, 1200, Number()};
+    case 4:
+      return job_cancel{Job()};
+    case 5:
+      return job_lookup{Any<std::uint64_t>(), Job()};
+    default:
+      return drain_request{};
+  }
+}
+
+template <typename Message>
+std::vector<Message> Several(Message (*make)()) {
+  std::vector<Message> messages(*rc::gen::inRange<std::size_t>(0, 6));
+  std::generate(messages.begin(), messages.end(), make);
+  return messages;
+}
+
+std::span<const std::byte> AsBytes(const std::string& text) {
+  return std::as_bytes(std::span(text));
+}
+
+std::string Encode(const agent_message& message) {
+  return EncodeAgentFrame(kConnection, std::span(&message, 1));
+}
+
+std::string Encode(const entry_message& message) {
+  return EncodeEntryFrame(kConnection, std::span(&message, 1));
+}
+
+template <typename Frame>
+bool IsFrameOrMalformed(const result<Frame>& decoded) {
+  return decoded || decoded.error().code == errc::kParseFailed;
+}
+
+template <typename Message>
+bool IsAccepted(const Message& message) {
+  if constexpr (std::is_constructible_v<agent_message, Message>)
+    return DecodeAgentFrame(AsBytes(Encode(agent_message(message))))
+        .has_value();
+  else
+    return DecodeEntryFrame(AsBytes(Encode(entry_message(message))))
+        .has_value();
+}
+
+// Guards against a field that encoding or decoding forgets or mixes up.
+TEST(AgentFrame, RoundTrip) {
+  EXPECT_TRUE(rc::check("agent messages", [] {
+    const auto sent = Several(AgentMessage);
+    const auto got =
+        DecodeAgentFrame(AsBytes(EncodeAgentFrame(kConnection, sent)));
+    RC_ASSERT(got.has_value());
+    RC_ASSERT(got->connection == kConnection);
+    RC_ASSERT(got->messages == sent);
+  }));
+}
+
+// As above, for the other direction.
+TEST(EntryFrame, RoundTrip) {
+  EXPECT_TRUE(rc::check("entry messages", [] {
+    const auto sent = Several(EntryMessage);
+    const auto got =
+        DecodeEntryFrame(AsBytes(EncodeEntryFrame(kConnection, sent)));
+    RC_ASSERT(got.has_value());
+    RC_ASSERT(got->connection == kConnection);
+    RC_ASSERT(got->messages == sent);
+  }));
+}
+
+// Guards against a malformed frame that throws, crashes or reads past its end.
+TEST(Frames, RandomBytesNeverThrow) {
+  EXPECT_TRUE(rc::check("random bytes", [] {
+    const std::string bytes = Bytes();
+    const auto agent = DecodeAgentFrame(AsBytes(bytes));
+    RC_ASSERT(IsFrameOrMalformed(agent));
+    const auto entry = DecodeEntryFrame(AsBytes(bytes));
+    RC_ASSERT(IsFrameOrMalformed(entry));
+  }));
+}
+
+// Guards against a truncated or corrupt frame passing for a message that was
+// never sent in full.
+TEST(Frames, TruncatedMessageIsRejected) {
+  EXPECT_TRUE(rc::check("truncated", [] {
+    const std::string whole = Encode(EntryMessage());
+    const auto size = *rc::gen::inRange<std::size_t>(0, whole.size());
+    const std::string part = whole.substr(0, size);
+    const auto got = DecodeEntryFrame(AsBytes(part));
+    const bool no_message = !got || got->messages.empty();
+    RC_ASSERT(no_message);
+  }));
+  EXPECT_TRUE(rc::check("one byte changed", [] {
+    std::string bytes = Encode(AgentMessage());
+    bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = Any<char>();
+    const auto got = DecodeAgentFrame(AsBytes(bytes));
+    RC_ASSERT(IsFrameOrMalformed(got));
+  }));
+}
+
+// Guards against values out of range that the cores do not expect.
+TEST(Frames, ValuesOutOfRangeAreRejected) {
+  const job_id job{"e1", incarnation{1}, 2, 3};
+  const job_id no_entry{"", incarnation{1}, 2, 3};
+  const job_id too_late{"e1", incarnation{1}, std::uint64_t{1} << 48U, 3};
+  const dispatch good{job, 0, 1, dispatch_number{1}, "k", {}, 0, ""};
+  ASSERT_TRUE(IsAccepted(good));
+  const auto with = [&good](auto field, auto value) {
+    dispatch changed = good;
+    changed.*field = value;
+    return IsAccepted(changed);
+  };
+  EXPECT_FALSE(with(&dispatch::job, no_entry));
+  EXPECT_FALSE(with(&dispatch::job, too_late));
+  EXPECT_FALSE(with(&dispatch::task, 1U));
+  EXPECT_FALSE(with(&dispatch::task_count, 0U));
+  EXPECT_FALSE(with(&dispatch::task_count, 1201U));
+  EXPECT_FALSE(with(&dispatch::number, dispatch_number{0}));
+  EXPECT_FALSE(with(&dispatch::kind, "No Name"));
+  EXPECT_FALSE(with(&dispatch::start_by, monotonic_time::max()));
+  EXPECT_FALSE(with(&dispatch::start_by, monotonic_time(microseconds(-1))));
+
+  task_report report;
+  report.job = job;
+  report.dispatch = dispatch_number{1};
+  ASSERT_TRUE(IsAccepted(report));
+  report.state = task_state{6};
+  EXPECT_FALSE(IsAccepted(report));
+  report.state = task_state::kCut;
+  report.reason = task_reason{11};
+  EXPECT_FALSE(IsAccepted(report));
+
+  hello greeting;
+  greeting.agent = "a1";
+  ASSERT_TRUE(IsAccepted(greeting));
+  greeting.slots = kMaxSlots + 1;
+  EXPECT_FALSE(IsAccepted(greeting));
+  EXPECT_FALSE(IsAccepted(hello{}));
+  EXPECT_FALSE(IsAccepted(config_offer{}));
+}
+
+// Guards against frames without a connection number, which would pass the
+// check for older connections.
+TEST(Frames, ConnectionNumberIsRequired) {
+  const entry_message message = drain_request{};
+  const auto frame =
+      EncodeEntryFrame(connection_number{0}, std::span(&message, 1));
+  EXPECT_FALSE(DecodeEntryFrame(AsBytes(frame)).has_value());
+  EXPECT_FALSE(DecodeEntryFrame({}).has_value());
+}
+
+}  // namespace
+}  // namespace egretrack::wire
