--- /dev/null
+++ b/src/net/frame_wake.h
@@ -0,0 +1,25 @@
+#ifndef EGRETRACK_NET_FRAME_WAKE_H_
+#define EGRETRACK_NET_FRAME_WAKE_H_
+
+namespace egretrack::net {
+
+// An eventfd that wakes a thread that waits in a poll.
+class wake_event {
+ public:
+  wake_event();
+  ~wake_event();
+  wake_event(const wake_event&) = delete;
+  wake_event& operator=(const wake_event&) = delete;
+
+  void Notify();
+  void Clear();
+  // -1 when the system gave no descriptor.
+  int fd() const { return fd_; }
+
+ private:
+  const int fd_;
+};
+
+}  // namespace egretrack::net
+
+#endif  // EGRETRACK_NET_FRAME_WAKE_H_
