Read and check the settings of a process

Cause: entries and agents need their settings, with every fault named at once, before they can be started.

Change: tables of member pointers describe the keys of [entry] and [agent]; src/toml/key_table.h reads a TOML table by such a table of keys, and the configuration objects will use it as well.

--- /dev/null
+++ b/src/base/file.cc
@@ -0,0 +1,23 @@
+#include "egretrack/base/file.h"
+
+#include <array>
+#include <fstream>
+
+namespace egretrack {
+
+result<std::string> ReadFile(std::string_view path) {
+  std::ifstream input(std::string(path), std::ios::binary);
+  if (!input.is_open())
+    return MakeError(errc::kNotFound, path);
+  std::string text;
+  std::array<char, 4096> block{};
+  while (input.good()) {
+    input.read(block.data(), block.size());
+    text.append(block.data(), static_cast<std::size_t>(input.gcount()));
+  }
+  if (input.bad())
+    return MakeError(errc::kSystem, path);
+  return text;
+}
+
+}  // namespace egretrack
--- /dev/null
+++ b/src/settings/keys.cc
@@ -0,0 +1,241 @@
+#include "settings/keys.h"
+
+#include <algorithm>
+#include <array>
+
+#include "settings/address.h"
+
+namespace egretrack::settings {
+namespace {
+
+using keys::custom_key;
+using keys::fault_list;
+using keys::key_errc;
+using keys::key_rule;
+using keys::number_range;
+using keys::text_rule;
+
+constexpr number_range kLeaseMs{100, 60000};
+constexpr number_range kTableSize{1, 10000000};
+// The largest integer that a double holds exactly together with all below it.
+constexpr number_range kSeed{0, 9007199254740991};
+
+template <std::size_t N>
+bool IsOneOf(const std::array<std::string_view, N>& choices,
+             std::string_view text) {
+  return std::find(choices.begin(), choices.end(), text) != choices.end();
+}
+
+constexpr text_rule kListenAddress{key_errc::kInvalidAddress, &IsListenAddress,
+                                   "an IP address and port, as in 10.0.0.1:80"};
+constexpr text_rule kLoopbackAddress{
+    key_errc::kInvalidAddress, &IsLoopbackListenAddress,
+    "a loopback address and port, as in 127.0.0.1:80"};
+constexpr text_rule kRemoteAddress{
+    key_errc::kInvalidAddress, &IsRemoteAddress,
+    "an IP address and a port of 1 or more, as in 10.0.0.1:80"};
+constexpr text_rule kRouting{
+    key_errc::kOutOfRange,
+    [](std::string_view text) {
+      return IsOneOf<3>({"credits", "round-robin", "least-outstanding"}, text);
+    },
+    "credits, round-robin or least-outstanding"};
+constexpr text_rule kOrdering{key_errc::kOutOfRange,
+                              [](std::string_view text) {
+                                return IsOneOf<2>({"classes", "fifo"}, text);
+                              },
+                              "classes or fifo"};
+constexpr text_rule kLevel{
+    key_errc::kOutOfRange,
+    [](std::string_view text) {
+      return IsOneOf<6>({"trace", "debug", "info", "warn", "error", "off"},
+                        text);
+    },
+    "trace, debug, info, warn, error or off"};
+
+template <typename Settings>
+void ReadLog(const toml::node& node,
+             std::string_view key,
+             Settings& object,
+             fault_list& faults) {
+  const auto* table = keys::ExpectTable(node, key, faults);
+  if (table != nullptr)
+    keys::ReadTable(*table, LogKeys(), key, object.log, faults);
+}
+
+template <typename Settings>
+std::string PrintLog(const Settings& /*object*/) {
+  return "[log]";
+}
+
+void ReadPeers(const toml::node& node,
+               std::string_view key,
+               entry_settings& object,
+               fault_list& faults) {
+  const auto* list = node.as_array();
+  if (list == nullptr) {
+    faults.push_back({key_errc::kWrongType, std::string(key),
+                      "the value is not a list of tables"});
+    return;
+  }
+  for (const auto& element : *list) {
+    const std::string place =
+        std::string(key) + "[" + std::to_string(object.peers.size()) + "]";
+    peer& added = object.peers.emplace_back();
+    const auto* table = keys::ExpectTable(element, place, faults);
+    if (table != nullptr)
+      keys::ReadTable(*table, PeerKeys(), place, added, faults);
+  }
+}
+
+std::string PrintPeers(const entry_settings& object) {
+  return std::to_string(object.peers.size()) + " peers";
+}
+
+}  // namespace
+
+std::span<const key_rule<log_settings>> LogKeys() {
+  using s = log_settings;
+  static const std::array kKeys{
+      key_rule<s>{.name = "level", .target = &s::level, .text = kLevel},
+      key_rule<s>{.name = "file", .target = &s::file, .text = keys::kAnyText},
+  };
+  return kKeys;
+}
+
+std::span<const key_rule<peer>> PeerKeys() {
+  using s = peer;
+  static const std::array kKeys{
+      key_rule<s>{.name = "id",
+                  .target = &s::id,
+                  .text = keys::kNameRule,
+                  .required = true},
+      key_rule<s>{.name = "http",
+                  .target = &s::http,
+                  .text = kRemoteAddress,
+                  .required = true},
+  };
+  return kKeys;
+}
+
+std::span<const key_rule<entry_settings>> EntryKeys() {
+  using s = entry_settings;
+  using rule = key_rule<s>;
+  static const std::array kKeys{
+      rule{.name = "id",
+           .target = &s::id,
+           .text = keys::kNameRule,
+           .required = true},
+      rule{.name = "failure_domain",
+           .target = &s::failure_domain,
+           .text = keys::kNameRule,
+           .required = true},
+      rule{.name = "http",
+           .target = &s::http,
+           .text = kListenAddress,
+           .required = true},
+      rule{.name = "agents",
+           .target = &s::agents,
+           .text = kListenAddress,
+           .required = true},
+      rule{.name = "table",
+           .target = &s::table,
+           .text = kRemoteAddress,
+           .required = true},
+      rule{.name = "peers", .target = custom_key<s>{&ReadPeers, &PrintPeers}},
+      rule{.name = "routing", .target = &s::routing, .text = kRouting},
+      rule{.name = "ordering", .target = &s::ordering, .text = kOrdering},
+      rule{.name = "admission", .target = &s::admission},
+      rule{.name = "ejection", .target = &s::ejection},
+      rule{.name = "long_share", .target = &s::long_share, .range = {0, 1}},
+      rule{.name = "retry_budget", .target = &s::retry_budget, .range = {0, 1}},
+      rule{.name = "random_seed", .target = &s::random_seed, .range = kSeed},
+      rule{
+          .name = "http_threads", .target = &s::http_threads, .range = {1, 64}},
+      rule{.name = "mailbox_capacity",
+           .target = &s::mailbox_capacity,
+           .range = {64, 1048576}},
+      rule{.name = "max_queued_tasks",
+           .target = &s::max_queued_tasks,
+           .range = kTableSize},
+      rule{.name = "max_job_records",
+           .target = &s::max_job_records,
+           .range = kTableSize},
+      rule{.name = "retention_s", .target = &s::retention, .range = {1, 3600}},
+      rule{.name = "start_by_ms", .target = &s::start_by, .range = kLeaseMs},
+      rule{.name = "drain_grace_ms",
+           .target = &s::drain_grace,
+           .range = {0, 60000}},
+      rule{.name = "config_poll_ms",
+           .target = &s::config_poll,
+           .range = {50, 60000}},
+      rule{.name = "table_timeout_ms",
+           .target = &s::table_timeout,
+           .range = {10, 60000}},
+      rule{.name = "ports_file",
+           .target = &s::ports_file,
+           .text = keys::kAnyText},
+      rule{.name = "log", .target = custom_key<s>{&ReadLog<s>, &PrintLog<s>}},
+  };
+  return kKeys;
+}
+
+std::span<const key_rule<agent_settings>> AgentKeys() {
+  using s = agent_settings;
+  using rule = key_rule<s>;
+  static const std::array kKeys{
+      rule{.name = "id",
+           .target = &s::id,
+           .text = keys::kNameRule,
+           .required = true},
+      rule{.name = "failure_domain",
+           .target = &s::failure_domain,
+           .text = keys::kNameRule,
+           .required = true},
+      rule{.name = "http",
+           .target = &s::http,
+           .text = kLoopbackAddress,
+           .required = true},
+      rule{.name = "entries",
+           .target = &s::entries,
+           .text = kRemoteAddress,
+           .required = true},
+      rule{.name = "slots", .target = &s::slots, .range = {1, 4096}},
+      rule{.name = "connections",
+           .target = &s::connections,
+           .range = {1, 65535}},
+      rule{.name = "overcommit", .target = &s::overcommit, .range = {0, 2}},
+      rule{
+          .name = "credit_floor", .target = &s::credit_floor, .range = {0, 64}},
+      rule{.name = "push", .target = &s::push},
+      rule{.name = "mailbox_capacity",
+           .target = &s::mailbox_capacity,
+           .range = {64, 1048576}},
+      rule{.name = "max_records",
+           .target = &s::max_records,
+           .range = kTableSize},
+      rule{.name = "retention_s", .target = &s::retention, .range = {1, 3600}},
+      rule{.name = "heartbeat_interval_ms",
+           .target = &s::heartbeat_interval,
+           .range = {20, 10000}},
+      rule{.name = "reconnect_after_ms",
+           .target = &s::reconnect_after,
+           .range = kLeaseMs},
+      rule{.name = "credit_lease_ms",
+           .target = &s::credit_lease,
+           .range = kLeaseMs},
+      rule{.name = "announcement_lease_ms",
+           .target = &s::announcement_lease,
+           .range = kLeaseMs},
+      rule{.name = "task_timeout_ms",
+           .target = &s::task_timeout,
+           .range = {1, 3600000}},
+      rule{.name = "ports_file",
+           .target = &s::ports_file,
+           .text = keys::kAnyText},
+      rule{.name = "log", .target = custom_key<s>{&ReadLog<s>, &PrintLog<s>}},
+  };
+  return kKeys;
+}
+
+}  // namespace egretrack::settings
--- /dev/null
+++ b/src/settings/keys.h
@@ -0,0 +1,20 @@
+#ifndef EGRETRACK_SRC_SETTINGS_KEYS_H_
+#define EGRETRACK_SRC_SETTINGS_KEYS_H_
+
+#include <span>
+
+#include "egretrack/settings/settings.h"
+#include "toml/key_table.h"
+
+// The tables that describe every key of the settings; docs/settings.md is
+// tested against them.
+namespace egretrack::settings {
+
+std::span<const keys::key_rule<entry_settings>> EntryKeys();
+std::span<const keys::key_rule<agent_settings>> AgentKeys();
+std::span<const keys::key_rule<peer>> PeerKeys();
+std::span<const keys::key_rule<log_settings>> LogKeys();
+
+}  // namespace egretrack::settings
+
+#endif  // EGRETRACK_SRC_SETTINGS_KEYS_H_
