Parse, check, diff and look up the configuration objects

Cause: entries, agents and egretrackctl need one library that decides whether a configuration may be published.

Change: each kind of object is described by a table of member pointers; the relations between objects are a table of checks that all run, so that every fault is reported at once. A limit without a team is accepted as a parent of other limits only. A limit that no worker can meet is one whose desk has no endpoint, that no shift with endpoints opens, or that is above its parent's bound; an endpoint with more slots than connections is one as well.

--- /dev/null
+++ b/src/objects/check.cc
@@ -0,0 +1,162 @@
+#include "egretrack/objects/check.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include "egretrack/base/ids.h"
+#include "objects/relations.h"
+#include "objects/sections.h"
+
+namespace egretrack::objects {
+namespace {
+
+class config_category final : public std::error_category {
+ public:
+  const char* name() const noexcept override { return "egretrack.objects"; }
+
+  std::string message(int value) const override {
+    switch (static_cast<config_errc>(value)) {
+      case config_errc::kSyntax:
+        return "not valid TOML";
+      case config_errc::kUnknownKey:
+        return "unknown key";
+      case config_errc::kMissingKey:
+        return "missing key";
+      case config_errc::kWrongType:
+        return "wrong type";
+      case config_errc::kOutOfRange:
+        return "out of range";
+      case config_errc::kInvalidName:
+        return "invalid name";
+      case config_errc::kUnknownName:
+        return "unknown name";
+      case config_errc::kDuplicateTeam:
+        return "duplicate team";
+      case config_errc::kLimitCycle:
+        return "cycle of limits";
+      case config_errc::kShiftOverlap:
+        return "overlapping shifts";
+      case config_errc::kUnreachableLimit:
+        return "limit that no worker can meet";
+      case config_errc::kUnservedKind:
+        return "request kind that no endpoint serves";
+    }
+    return "unknown error";
+  }
+};
+
+// Indexed by key_errc. No key of an object is an address.
+constexpr std::array kCodes{
+    config_errc::kUnknownKey,  config_errc::kMissingKey,
+    config_errc::kWrongType,   config_errc::kOutOfRange,
+    config_errc::kInvalidName, config_errc::kInvalidName,
+    config_errc::kInvalidName,
+};
+
+// Takes over the faults of one object.
+void AddFaults(keys::fault_list found,
+               std::string_view object,
+               std::vector<config_fault>& faults) {
+  for (auto& fault : found) {
+    faults.push_back({kCodes[static_cast<std::size_t>(fault.code)],
+                      std::string(object), std::move(fault.key),
+                      std::move(fault.reason)});
+  }
+}
+
+template <typename Object>
+void ReadObject(const section<Object>& kind,
+                std::string_view name,
+                const toml::node& node,
+                check_outcome& outcome) {
+  const std::string place = kind.Place(name);
+  keys::fault_list faults;
+  Object object;
+  object.name = std::string(name);
+  if (!IsValidName(name)) {
+    faults.push_back(
+        {keys::key_errc::kInvalidName, "",
+         "the name is not " + std::string(keys::kNameRule.wanted)});
+  }
+  const toml::table* table = keys::ExpectTable(node, "", faults);
+  if (table != nullptr) {
+    keys::ReadTable(*table, kind.rules, "", object, faults);
+    (outcome.objects.*kind.list).push_back(std::move(object));
+  }
+  AddFaults(std::move(faults), place, outcome.faults);
+}
+
+template <typename Object>
+void ReadSection(const section<Object>& kind,
+                 const toml::table& document,
+                 check_outcome& outcome) {
+  const toml::node* node = document.get(kind.name);
+  if (node == nullptr)
+    return;
+  keys::fault_list faults;
+  const toml::table* table = keys::ExpectTable(*node, "", faults);
+  AddFaults(std::move(faults), kind.name, outcome.faults);
+  if (table == nullptr)
+    return;
+  for (const auto& [name, object] : *table)
+    ReadObject(kind, name.str(), object, outcome);
+  auto& list = outcome.objects.*kind.list;
+  std::sort(list.begin(), list.end(),
+            [](const Object& a, const Object& b) { return a.name < b.name; });
+}
+
+void CheckSectionNames(const toml::table& document,
+                       std::vector<config_fault>& faults) {
+  for (const auto& [name, node] : document) {
+    bool known = false;
+    ForEachSection([&known, &name = name](const auto& kind) {
+      known = known || kind.name == name.str();
+    });
+    if (!known) {
+      faults.push_back({config_errc::kUnknownKey, "", std::string(name.str()),
+                        "no such kind of object"});
+    }
+  }
+}
+
+}  // namespace
+
+std::error_code make_error_code(config_errc code) {
+  static const config_category kCategory;
+  return {static_cast<int>(code), kCategory};
+}
+
+std::string config_fault::ToString() const {
+  std::string text = object;
+  if (!key.empty())
+    text += (text.empty() ? "" : ": ") + key;
+  return text.empty() ? reason : text + ": " + reason;
+}
+
+check_outcome CheckDocument(std::string_view document) {
+  check_outcome outcome;
+  const keys::parsed_document parsed = keys::ParseDocument(document);
+  if (!parsed.table) {
+    outcome.faults.push_back({config_errc::kSyntax, "", "", parsed.reason});
+    return outcome;
+  }
+  CheckSectionNames(*parsed.table, outcome.faults);
+  ForEachSection(
+      [&](const auto& kind) { ReadSection(kind, *parsed.table, outcome); });
+  CheckRelations(outcome.objects, outcome.faults);
+  return outcome;
+}
+
+result<configuration_ptr> LoadConfiguration(std::uint64_t version,
+                                            std::string_view document) {
+  check_outcome outcome = CheckDocument(document);
+  if (!outcome.faults.empty()) {
+    const config_fault& first = outcome.faults.front();
+    return MakeError(first.code, first.ToString());
+  }
+  return std::make_shared<const configuration>(configuration{
+      version, std::string(document), std::move(outcome.objects)});
+}
+
+}  // namespace egretrack::objects
--- /dev/null
+++ b/src/objects/sections.cc
@@ -0,0 +1,178 @@
+#include "objects/sections.h"
+
+#include <array>
+
+#include "objects/shift_time.h"
+
+namespace egretrack::objects {
+namespace {
+
+using keys::custom_key;
+using keys::fault_list;
+using keys::key_errc;
+using keys::key_rule;
+using keys::number_range;
+
+// An hour; longer work is not sub-second work.
+constexpr number_range kDurationMs{1, 3600000};
+constexpr number_range kJobSize{1, 1200};
+// Half of the body of a request, which carries up to 1,200 payloads.
+constexpr number_range kPayloadBytes{1, 16777216};
+
+void AddClockFault(std::string_view key,
+                   std::string_view last,
+                   fault_list& faults) {
+  faults.push_back({key_errc::kOutOfRange, std::string(key),
+                    "the value is not a time of day from \"00:00\" to \"" +
+                        std::string(last) + "\""});
+}
+
+template <std::uint16_t shift::*kMember, unsigned kLast>
+void ReadClock(const toml::node& node,
+               std::string_view key,
+               shift& object,
+               fault_list& faults) {
+  const auto* text = node.as_string();
+  const auto minutes = text != nullptr ? ParseClock(text->get()) : std::nullopt;
+  if (!minutes || *minutes > kLast)
+    return AddClockFault(key, PrintClock(kLast), faults);
+  object.*kMember = *minutes;
+}
+
+template <std::uint16_t shift::*kMember>
+std::string PrintShiftClock(const shift& object) {
+  return keys::PrintValue(std::string_view(PrintClock(object.*kMember)));
+}
+
+void ReadDays(const toml::node& node,
+              std::string_view key,
+              shift& object,
+              fault_list& faults) {
+  std::vector<std::string> names;
+  const keys::text_rule rule{
+      key_errc::kOutOfRange,
+      [](std::string_view name) { return ParseDay(name).has_value(); },
+      "one of mon, tue, wed, thu, fri, sat, sun"};
+  const std::size_t faults_before = faults.size();
+  keys::ReadValue(node, key, rule, names, faults);
+  for (const auto& name : names)
+    object.days |= static_cast<std::uint8_t>(1U << *ParseDay(name));
+  if (object.days == 0 && faults.size() == faults_before) {
+    faults.push_back(
+        {key_errc::kOutOfRange, std::string(key), "no day is named"});
+  }
+}
+
+std::string PrintDays(const shift& object) {
+  std::vector<std::string> names;
+  for (unsigned day = 0; day < kDaysPerWeek; ++day) {
+    if (((object.days >> day) & 1U) != 0)
+      names.emplace_back(DayName(day));
+  }
+  return keys::PrintValue(names);
+}
+
+template <typename Object>
+key_rule<Object> NameRule(std::string_view name,
+                          std::string Object::*member,
+                          bool required) {
+  return {.name = name,
+          .target = member,
+          .text = keys::kNameRule,
+          .required = required};
+}
+
+template <typename Object>
+key_rule<Object> NamesRule(std::string_view name,
+                           std::vector<std::string> Object::*member,
+                           bool required) {
+  return {.name = name,
+          .target = member,
+          .text = keys::kNameRule,
+          .required = required};
+}
+
+}  // namespace
+
+section<desk> DeskSection() {
+  // At 1 the error budget is empty and burn is not defined.
+  static const std::array kKeys{
+      key_rule<desk>{.name = "objective",
+                     .target = &desk::objective,
+                     .range = {0.5, 0.999999}},
+  };
+  return {"desk", &object_set::desks, kKeys};
+}
+
+section<request_kind> KindSection() {
+  using o = request_kind;
+  using rule = key_rule<o>;
+  static const std::array kKeys{
+      NameRule("desk", &o::desk, true),
+      rule{.name = "idempotent", .target = &o::idempotent},
+      rule{.name = "deadline_ms", .target = &o::deadline, .range = kDurationMs},
+      rule{.name = "max_deadline_ms",
+           .target = &o::max_deadline,
+           .range = kDurationMs},
+      rule{.name = "expected_ms", .target = &o::expected, .range = kDurationMs},
+      rule{.name = "max_tasks", .target = &o::max_tasks, .range = kJobSize},
+      rule{.name = "max_payload_bytes",
+           .target = &o::max_payload_bytes,
+           .range = kPayloadBytes},
+  };
+  return {"request_kind", &object_set::kinds, kKeys};
+}
+
+section<endpoint> EndpointSection() {
+  using o = endpoint;
+  using rule = key_rule<o>;
+  static const std::array kKeys{
+      NameRule("desk", &o::desk, true),
+      NamesRule("kinds", &o::kinds, true),
+      rule{.name = "slots", .target = &o::slots, .range = {1, 4096}},
+      rule{.name = "connections",
+           .target = &o::connections,
+           .range = {1, 65535}},
+  };
+  return {"endpoint", &object_set::endpoints, kKeys};
+}
+
+section<shift> ShiftSection() {
+  using o = shift;
+  using rule = key_rule<o>;
+  static const std::array kKeys{
+      NameRule("desk", &o::desk, true),
+      rule{.name = "days",
+           .target = custom_key<o>{&ReadDays, &PrintDays},
+           .required = true},
+      rule{.name = "opens",
+           .target = custom_key<o>{&ReadClock<&o::opens, kMinutesPerDay - 1>,
+                                   &PrintShiftClock<&o::opens>}},
+      rule{.name = "closes",
+           .target = custom_key<o>{&ReadClock<&o::closes, kMinutesPerDay>,
+                                   &PrintShiftClock<&o::closes>}},
+      NamesRule("endpoints", &o::endpoints, false),
+      NamesRule("limits", &o::limits, false),
+  };
+  return {"shift", &object_set::shifts, kKeys};
+}
+
+section<limit> LimitSection() {
+  using o = limit;
+  using rule = key_rule<o>;
+  static const std::array kKeys{
+      NameRule("desk", &o::desk, true),
+      NameRule("team", &o::team, false),
+      rule{.name = "weight", .target = &o::weight, .range = {1, 1000}},
+      rule{.name = "max_running",
+           .target = &o::max_running,
+           .range = {0, 1000000}},
+      rule{.name = "max_queued",
+           .target = &o::max_queued,
+           .range = {0, 10000000}},
+      NameRule("parent", &o::parent, false),
+  };
+  return {"limit", &object_set::limits, kKeys};
+}
+
+}  // namespace egretrack::objects
--- /dev/null
+++ b/src/objects/tests/configuration_test.cc
@@ -0,0 +1,68 @@
+#include "egretrack/objects/configuration.h"
+
+#include <chrono>
+
+#include <gtest/gtest.h>
+
+namespace egretrack::objects {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::minutes;
+using std::chrono::sys_days;
+using std::chrono::year_month_day;
+
+// Day 1 is a Monday.
+wall_time At(unsigned day, hours hour, minutes minute = minutes(0)) {
+  using namespace std::chrono;  // NOLINT: for the calendar literals.
+  return sys_days(year_month_day(year(2026), June, std::chrono::day(day))) +
+         hour + minute;
+}
+
+object_set NightShift() {
+  object_set set;
+  set.endpoints.resize(2);
+  set.endpoints[0].name = "e";
+  set.endpoints[0].desk = "d";
+  set.endpoints[1].name = "f";
+  set.endpoints[1].desk = "d";
+  set.limits.resize(1);
+  set.limits[0].name = "l";
+  set.limits[0].desk = "d";
+  shift& night = set.shifts.emplace_back();
+  night.desk = "d";
+  night.days = 0b1000000;
+  night.opens = 22 * 60;
+  night.closes = 6 * 60;
+  night.endpoints = {"e"};
+  night.limits = {"l"};
+  return set;
+}
+
+// Guards against a night shift that ends at midnight or starts a day late:
+// Sunday 22:00 to Monday 06:00, across the end of the week.
+TEST(Shift, PassesMidnight) {
+  const object_set set = NightShift();
+  const auto open = [&](wall_time now) {
+    EXPECT_EQ(IsLimitOpen(set, set.limits[0], now),
+              IsEndpointOpen(set, set.endpoints[0], now));
+    return IsEndpointOpen(set, set.endpoints[0], now);
+  };
+  EXPECT_FALSE(open(At(7, hours(21), minutes(59))));
+  EXPECT_TRUE(open(At(7, hours(22))));
+  EXPECT_TRUE(open(At(8, hours(5), minutes(59))));
+  EXPECT_FALSE(open(At(8, hours(6))));
+  EXPECT_FALSE(open(At(8, hours(22))));
+}
+
+// Guards against endpoints that a shift does not name taking work, and against
+// shifts of one desk closing another.
+TEST(Shift, OpensOnlyWhatItNames) {
+  object_set set = NightShift();
+  EXPECT_FALSE(IsEndpointOpen(set, set.endpoints[1], At(7, hours(23))));
+  set.endpoints[1].desk = "other";
+  EXPECT_TRUE(IsEndpointOpen(set, set.endpoints[1], At(7, hours(23))));
+}
+
+}  // namespace
+}  // namespace egretrack::objects
