Add the parts of the entry's decision core

Cause: the entry needs small, separately testable decisions before they can be wired together.

Change: outcome names; the life cycles of a job, of an agent's membership and of the drain as Boost.MSM machines inside their sources; job and agent tables, lookup, credit ledger, run time profile, deficit round robin queue, quotas with parents, admission forecast, outlier ejection, retry budget, and the routing and ordering strategies. entry_counters gains stale_frames, which late_reports did not cover.

--- /dev/null
+++ b/src/decision/entry_agent.h
@@ -0,0 +1,53 @@
+#ifndef EGRETRACK_DECISION_ENTRY_AGENT_H_
+#define EGRETRACK_DECISION_ENTRY_AGENT_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "decision/agent_health.h"
+#include "decision/agent_membership.h"
+#include "decision/credit_ledger.h"
+#include "decision/entry_job.h"
+#include "egretrack/base/ids.h"
+#include "egretrack/decision/entry_core.h"
+
+namespace egretrack::decision {
+
+// An agent as this entry sees it.
+struct entry_agent {
+  std::string name;
+  incarnation agent_incarnation{};
+  connection_number connection{};
+  link_id link{};
+  agent_membership life;
+  std::string endpoint;
+  std::string failure_domain;
+  std::uint32_t slots = 0;
+  bool draining = false;
+  std::uint64_t config_version = 0;
+  monotonic_time heard{};
+  credit_ledger credits;
+  agent_health health;
+  std::vector<kind_state*> kinds;  // That its endpoint serves now.
+  std::uint32_t long_outstanding = 0;
+
+  struct outstanding_task {
+    entry_job* job = nullptr;
+    task_index task = 0;
+  };
+  std::vector<outstanding_task> outstanding;
+
+  // Adds a task to, or removes it from, the outstanding ones.
+  void Hold(entry_job& job, task_index task);
+  void Let(entry_job& job, task_index task);
+
+  // True when new work may be sent, credits and health aside.
+  bool serving() const { return life.phase() == agent_phase::kServing; }
+  // Share of the slots in use by this entry.
+  double load() const;
+};
+
+}  // namespace egretrack::decision
+
+#endif  // EGRETRACK_DECISION_ENTRY_AGENT_H_
--- /dev/null
+++ b/src/decision/fair_queue.h
@@ -0,0 +1,85 @@
+#ifndef EGRETRACK_DECISION_FAIR_QUEUE_H_
+#define EGRETRACK_DECISION_FAIR_QUEUE_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "decision/quota_tree.h"
+#include "egretrack/base/time.h"
+
+namespace egretrack::decision {
+
+struct team_queue;
+
+// The part of a job that its queue uses.
+struct queue_item {
+  monotonic_time key{};           // Lower goes first.
+  monotonic_time latest_start{};  // After it the job is infeasible.
+  std::uint64_t sequence = 0;     // Breaks ties in order of arrival.
+  quota_node* quota = nullptr;
+  team_queue* queue = nullptr;  // Set while queued.
+  bool overdue = false;         // Moved behind the feasible jobs.
+};
+
+struct queue_order {
+  bool operator()(const queue_item* a, const queue_item* b) const {
+    return a->key != b->key ? a->key < b->key : a->sequence < b->sequence;
+  }
+};
+
+struct team_queue {
+  std::set<queue_item*, queue_order> feasible;
+  std::set<queue_item*, queue_order> overdue;
+  std::uint32_t deficit = 0;  // Tasks that the team may still send this turn.
+  bool active = false;
+
+  bool empty() const { return feasible.empty() && overdue.empty(); }
+};
+
+// Says whether the place that asks for work can take a task of a job.
+class placement {
+ public:
+  virtual ~placement() = default;
+  virtual bool Accepts(const queue_item& item) const = 0;
+};
+
+// Queued jobs of one request kind: deficit round robin over teams, and the
+// earliest feasible deadline first within a team. A job leaves the queue when
+// its last queued task was sent.
+class fair_queue {
+ public:
+  fair_queue() = default;
+  fair_queue(const fair_queue&) = delete;
+  fair_queue& operator=(const fair_queue&) = delete;
+
+  void Add(queue_item& item, std::string_view team);
+  void Remove(queue_item& item);
+
+  // The job that is next for a place, or nullptr. Sets `quota_blocked` when a
+  // team was passed over because of its quota.
+  queue_item* Next(const placement& place,
+                   monotonic_time now,
+                   bool& quota_blocked);
+  // One task of `item`, which Next returned, was sent.
+  static void Charge(queue_item& item);
+
+  bool empty() const { return active_.empty(); }
+
+ private:
+  static queue_item* First(team_queue& team,
+                           const placement& place,
+                           monotonic_time now);
+
+  std::map<std::string, team_queue, std::less<>> teams_;
+  std::vector<team_queue*> active_;
+  std::size_t turn_ = 0;
+};
+
+}  // namespace egretrack::decision
+
+#endif  // EGRETRACK_DECISION_FAIR_QUEUE_H_
--- /dev/null
+++ b/src/decision/job_lifecycle.cc
@@ -0,0 +1,90 @@
+#include "decision/job_lifecycle.h"
+
+#include <array>
+#include <cstddef>
+
+#include <boost/mpl/vector.hpp>
+#include <boost/msm/back/state_machine.hpp>
+#include <boost/msm/front/functor_row.hpp>
+#include <boost/msm/front/state_machine_def.hpp>
+
+namespace egretrack::decision {
+namespace {
+
+namespace front = boost::msm::front;
+
+struct bind {};
+struct admit {};
+struct dispatch {};
+struct close {};
+struct end {};
+
+struct definition : front::state_machine_def<definition> {
+  struct fresh : front::state<> {};
+  struct binding : front::state<> {};
+  struct queued : front::state<> {};
+  struct running : front::state<> {};
+  struct closing : front::state<> {};
+  struct ended : front::state<> {};
+
+  using initial_state = fresh;
+  // The machine neither queues events nor throws, which keeps a job small.
+  using no_message_queue = int;
+  using no_exception_thrown = int;
+
+  // The order of first mention numbers the states as in job_phase.
+  // clang-format off
+  struct transition_table : boost::mpl::vector<
+      front::Row<fresh,   bind,     binding>,
+      front::Row<binding, admit,    queued>,
+      front::Row<queued,  dispatch, running>,
+      front::Row<running, close,    closing>,
+      front::Row<closing, end,      ended>,
+      front::Row<fresh,   admit,    queued>,
+      front::Row<fresh,   end,      ended>,
+      front::Row<binding, end,      ended>,
+      front::Row<queued,  close,    closing>,
+      front::Row<queued,  end,      ended>,
+      front::Row<running, dispatch, front::none>,
+      front::Row<running, end,      ended>> {};
+  // clang-format on
+
+  template <typename Machine, typename Event>
+  void no_transition(const Event& /*event*/, Machine& /*machine*/, int) {}
+};
+
+}  // namespace
+
+struct job_lifecycle::machine {
+  using backend = boost::msm::back::state_machine<definition>;
+  backend states;
+
+  template <typename Event>
+  bool Process() {
+    return states.process_event(Event{}) == boost::msm::back::HANDLED_TRUE;
+  }
+  using step = bool (machine::*)();
+  // Indexed by job_signal.
+  static constexpr std::array<step, 5> kSteps = {
+      &machine::Process<bind>, &machine::Process<admit>,
+      &machine::Process<dispatch>, &machine::Process<close>,
+      &machine::Process<end>};
+};
+
+job_lifecycle::job_lifecycle() : machine_(std::make_unique<machine>()) {
+  machine_->states.start();
+}
+job_lifecycle::~job_lifecycle() = default;
+job_lifecycle::job_lifecycle(job_lifecycle&&) noexcept = default;
+job_lifecycle& job_lifecycle::operator=(job_lifecycle&&) noexcept = default;
+
+bool job_lifecycle::Apply(job_signal signal) {
+  const auto step = machine::kSteps[static_cast<std::size_t>(signal)];
+  return ((*machine_).*step)();
+}
+
+job_phase job_lifecycle::phase() const {
+  return static_cast<job_phase>(machine_->states.current_state()[0]);
+}
+
+}  // namespace egretrack::decision
--- /dev/null
+++ b/src/decision/job_lifecycle.h
@@ -0,0 +1,52 @@
+#ifndef EGRETRACK_DECISION_JOB_LIFECYCLE_H_
+#define EGRETRACK_DECISION_JOB_LIFECYCLE_H_
+
+#include <cstdint>
+#include <memory>
+
+namespace egretrack::decision {
+
+// In the order of the regions of the state machine in job_lifecycle.cc.
+enum class job_phase : std::uint8_t {
+  kNew,
+  kBinding,  // Waits for its idempotency key; nothing is queued.
+  kQueued,   // Nothing was dispatched yet.
+  kRunning,
+  kClosing,  // Dispatches nothing more; waits for outstanding tasks.
+  kEnded,
+};
+
+enum class job_signal : std::uint8_t {
+  kBind,
+  kAdmit,
+  kDispatch,
+  kClose,
+  kEnd,
+};
+
+// Life cycle of a job at its home.
+class job_lifecycle {
+ public:
+  job_lifecycle();
+  ~job_lifecycle();
+  job_lifecycle(job_lifecycle&&) noexcept;
+  job_lifecycle& operator=(job_lifecycle&&) noexcept;
+
+  // False, without a change, when the phase does not allow the signal.
+  bool Apply(job_signal signal);
+
+  job_phase phase() const;
+  // True while tasks may be sent to agents.
+  bool open() const {
+    return phase() == job_phase::kQueued || phase() == job_phase::kRunning;
+  }
+  bool ended() const { return phase() == job_phase::kEnded; }
+
+ private:
+  struct machine;
+  std::unique_ptr<machine> machine_;
+};
+
+}  // namespace egretrack::decision
+
+#endif  // EGRETRACK_DECISION_JOB_LIFECYCLE_H_
--- /dev/null
+++ b/src/decision/job_table.cc
@@ -0,0 +1,66 @@
+#include "decision/job_table.h"
+
+#include <utility>
+
+namespace egretrack::decision {
+
+entry_job& job_table::Add(std::unique_ptr<entry_job> job) {
+  job->sequence = ++last_sequence_;
+  entry_job& added = *job;
+  by_id_.emplace(added.id, &added);
+  by_sequence_.emplace(added.sequence, std::move(job));
+  ++running_;
+  return added;
+}
+
+void job_table::Remove(const entry_job& job) {
+  if (!job.life.ended())
+    --running_;
+  by_id_.erase(job.id);
+  by_sequence_.erase(job.sequence);
+}
+
+entry_job* job_table::Find(const job_id& id) {
+  const auto found = by_id_.find(id);
+  return found == by_id_.end() ? nullptr : found->second;
+}
+
+entry_job* job_table::FindSequence(std::uint64_t sequence) {
+  const auto found = by_sequence_.find(sequence);
+  return found == by_sequence_.end() ? nullptr : found->second.get();
+}
+
+void job_table::AddRefusal(const job_id& id,
+                           refusal_record record,
+                           monotonic_time now) {
+  refusals_.insert_or_assign(id, std::move(record));
+  ended_refusals_.push_back({now + retention_, id});
+  if (ended_refusals_.size() > max_jobs_) {
+    refusals_.erase(ended_refusals_.front().id);
+    ended_refusals_.pop_front();
+  }
+}
+
+const refusal_record* job_table::FindRefusal(const job_id& id) const {
+  const auto found = refusals_.find(id);
+  return found == refusals_.end() ? nullptr : &found->second;
+}
+
+void job_table::End(const entry_job& job, monotonic_time now) {
+  --running_;
+  ended_.push_back({now + retention_, job.sequence});
+}
+
+void job_table::Expire(monotonic_time now) {
+  while (!ended_.empty() && ended_.front().expires <= now) {
+    if (const entry_job* job = FindSequence(ended_.front().sequence))
+      Remove(*job);
+    ended_.pop_front();
+  }
+  while (!ended_refusals_.empty() && ended_refusals_.front().expires <= now) {
+    refusals_.erase(ended_refusals_.front().id);
+    ended_refusals_.pop_front();
+  }
+}
+
+}  // namespace egretrack::decision
--- a/src/include/egretrack/decision/entry_core.h
+++ b/src/include/egretrack/decision/entry_core.h
@@ -259,6 +259,7 @@
   std::uint64_t reports = 0;
   std::uint64_t redispatches = 0;
   std::uint64_t late_reports = 0;  // Dropped: late, crossed or foreign.
+  std::uint64_t stale_frames = 0;  // Of an older connection or no agent.
   std::uint64_t queries = 0;
   std::uint64_t credit_messages =
       0;  // Grants, recalls and releases sent alone.
