Add the entry's decision core

Cause: the entry needs one pure core that takes jobs from submission to a whole answer or a truthful refusal.

Change: entry_core dispatches events and agent messages through tables of member pointers indexed by the variant's alternative.

Conclusion: submit, queue, dispatch on credits, report and answer work, as do deadlines, cancellation, reconnects, restarts, lookup, idempotency keys, quotas, ejection, push strategies and the drain.

--- /dev/null
+++ b/src/decision/entry_core.cc
@@ -0,0 +1,230 @@
+#include "egretrack/decision/entry_core.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "decision/entry_core_impl.h"
+
+namespace egretrack::decision {
+namespace {
+
+constexpr std::uint32_t kMaxReserved = 1000;
+constexpr std::uint64_t kCreatedMask = (1ULL << 48U) - 1;  // Of job_id.
+constexpr microseconds kTick = milliseconds(100);
+constexpr microseconds kMatchInterval = seconds(1);  // Shifts open and close.
+constexpr microseconds kForgetAgent = seconds(60);
+constexpr milliseconds kMaxDuration = std::chrono::hours(24);
+
+bool IsDuration(microseconds value) {
+  return value.count() > 0 && value <= kMaxDuration;
+}
+
+bool IsShare(double value) {
+  return value >= 0 && value <= 1;
+}
+
+}  // namespace
+
+result<std::unique_ptr<entry_core>> entry_core::Create(entry_options options) {
+  if (!IsValidName(options.entry))
+    return MakeError(errc::kInvalidArgument, "entry id");
+  if (!IsDuration(options.retention) || !IsDuration(options.start_by) ||
+      !IsDuration(options.silence_bound)) {
+    return MakeError(errc::kInvalidArgument, "time of the entry core");
+  }
+  if (options.drain_grace.count() < 0 || options.drain_grace > kMaxDuration)
+    return MakeError(errc::kInvalidArgument, "drain grace time");
+  if (!IsShare(options.retry_budget) || !IsShare(options.long_share))
+    return MakeError(errc::kInvalidArgument, "share of the entry core");
+  if (options.max_job_records == 0 || options.max_queued_tasks == 0)
+    return MakeError(errc::kInvalidArgument, "table size of the entry core");
+  return std::unique_ptr<entry_core>(
+      std::make_unique<entry_core_impl>(std::move(options)));
+}
+
+entry_core_impl::entry_core_impl(entry_options options)
+    : options_(std::move(options)),
+      jobs_(options_.max_job_records, options_.retention),
+      routing_(MakeRouting(options_.routing, options_.random_seed)),
+      ordering_(MakeOrdering(options_.ordering)),
+      retries_(options_.retry_budget),
+      random_(options_.random_seed ^
+              static_cast<std::uint64_t>(options_.entry_incarnation)) {}
+
+void entry_core_impl::Handle(entry_event event,
+                             monotonic_time now,
+                             wall_time wall,
+                             std::vector<entry_command>& commands) {
+  static constexpr auto kTable =
+      EventTable(std::make_index_sequence<std::variant_size_v<entry_event>>());
+  Begin(now, wall, commands);
+  (this->*kTable[event.index()])(event);
+  End();
+}
+
+monotonic_time entry_core_impl::Advance(monotonic_time now,
+                                        wall_time wall,
+                                        std::vector<entry_command>& commands) {
+  Begin(now, wall, commands);
+  End();
+  timers_.Prune([this](const timer& due) { return IsStale(due); });
+  return timers_.NextOr(next_tick_);
+}
+
+bool entry_core_impl::ready() const {
+  return catalog_.version() != 0 && !agents_.empty() &&
+         drain_.phase() == drain_phase::kServing;
+}
+
+// Timers run before the event, so that no event sees a job past its deadline
+// as open.
+void entry_core_impl::Begin(monotonic_time now,
+                            wall_time wall,
+                            std::vector<entry_command>& commands) {
+  now_ = now;
+  wall_ = wall;
+  commands_ = &commands;
+  RunTimers();
+}
+
+void entry_core_impl::End() {
+  if (match_agents_) {
+    match_agents_ = false;
+    catalog_.Match(agents_, wall_);
+    ServeAll();
+  }
+  Pump();
+  if (drain_.phase() == drain_phase::kFinishing && jobs_.running() == 0 &&
+      lookups_.empty() && drain_.Apply(drain_signal::kIdle)) {
+    Emit(drain_finished{});
+  }
+  commands_ = nullptr;
+}
+
+void entry_core_impl::RunTimers() {
+  while (const auto due = timers_.TakeDue(now_))
+    (this->*due->handler)(due->subject);
+  if (now_ < next_tick_)
+    return;
+  next_tick_ = now_ + kTick;
+  Tick();
+}
+
+void entry_core_impl::Tick() {
+  jobs_.Expire(now_);
+  agents_.ForEach([this](entry_agent& agent) {
+    if (now_ - agent.heard > options_.silence_bound)
+      agent.life.Apply(agent_signal::kSilence);
+    if (agent.health.TrialDue(now_))
+      ready_agents_.push_back(&agent);
+  });
+  RunWatches(first_watches_);
+  RunWatches(later_watches_);
+  if (now_ < next_match_)
+    return;
+  next_match_ = now_ + kMatchInterval;
+  match_agents_ = true;
+  // The kinds and the list of ready agents must not keep a forgotten one.
+  ready_agents_.clear();
+  if (agents_.Forget(now_ - kForgetAgent))
+    catalog_.Match(agents_, wall_);
+}
+
+// A timer of a job that ended early must not wake the control thread.
+bool entry_core_impl::IsStale(const timer& due) {
+  if (due.handler != &entry_core_impl::OnDeadline)
+    return false;
+  const entry_job* job = jobs_.FindSequence(due.subject);
+  return job == nullptr || job->life.ended();
+}
+
+void entry_core_impl::On(reserve_request& event) {
+  give_ids given{event.caller, {}};
+  const std::uint32_t count = std::clamp(event.count, 1U, kMaxReserved);
+  given.ids.reserve(count);
+  for (std::uint32_t i = 0; i < count; ++i)
+    given.ids.push_back(NewId());
+  Emit(std::move(given));
+}
+
+void entry_core_impl::On(configuration_received& event) {
+  if (!catalog_.Adopt(std::move(event.configuration),
+                      static_cast<std::uint32_t>(entries()))) {
+    return;
+  }
+  CountQuotas();
+  match_agents_ = true;
+}
+
+void entry_core_impl::CountQuotas() {
+  jobs_.ForEachRunning([this](entry_job& job) {
+    if (quota_node* node =
+            catalog_.FindQuota(job.kind->object.desk, job.team)) {
+      job.quota = node;
+    }
+    if (job.life.phase() == job_phase::kBinding)
+      return;
+    job.quota->AddQueued(static_cast<int>(job.queued()));
+    job.quota->AddRunning(static_cast<int>(job.outstanding));
+  });
+}
+
+void entry_core_impl::On(drain_entry& /*event*/) {
+  if (drain_.Apply(drain_signal::kDrain))
+    timers_.Add(now_ + options_.drain_grace,
+                {&entry_core_impl::OnGraceOver, 0});
+}
+
+void entry_core_impl::OnGraceOver(std::uint64_t /*subject*/) {
+  drain_.Apply(drain_signal::kGraceOver);
+}
+
+void entry_core_impl::On(drain_agent& event) {
+  const entry_agent* agent = agents_.Find(event.agent);
+  const bool known = agent != nullptr && agent->life.reachable();
+  if (known)
+    Send(*agent, wire::drain_request{});
+  Emit(drain_answer{event.caller, known});
+}
+
+void entry_core_impl::On(status_request& event) {
+  entry_status status;
+  status.entry = options_.entry;
+  status.entry_incarnation = options_.entry_incarnation;
+  status.config_version = catalog_.version();
+  status.ready = ready();
+  status.draining = drain_.phase() != drain_phase::kServing;
+  status.jobs_running = jobs_.running();
+  status.tasks_queued = queued_tasks_;
+  agents_.ForEach([&status](const entry_agent& agent) {
+    agent_status& row = status.agents.emplace_back();
+    row.agent = agent.name;
+    row.endpoint = agent.endpoint;
+    row.failure_domain = agent.failure_domain;
+    row.config_version = agent.config_version;
+    row.slots = agent.slots;
+    row.outstanding = static_cast<std::uint32_t>(agent.outstanding.size());
+    row.reachable = agent.life.reachable();
+    row.draining = agent.draining;
+    row.ejected = agent.health.ejected();
+  });
+  Emit(give_status{event.caller, std::move(status)});
+}
+
+void entry_core_impl::Emit(entry_command command) {
+  commands_->push_back(std::move(command));
+}
+
+void entry_core_impl::Send(const entry_agent& agent,
+                           wire::entry_message message) {
+  Emit(send_to_agent{agent.link, agent.connection, std::move(message)});
+}
+
+job_id entry_core_impl::NewId() {
+  const auto age =
+      std::chrono::duration_cast<milliseconds>(now_.time_since_epoch());
+  return {options_.entry, options_.entry_incarnation,
+          static_cast<std::uint64_t>(age.count()) & kCreatedMask, random_()};
+}
+
+}  // namespace egretrack::decision
--- /dev/null
+++ b/src/decision/entry_dispatch.cc
@@ -0,0 +1,185 @@
+#include <algorithm>
+#include <utility>
+
+#include "decision/entry_core_impl.h"
+
+namespace egretrack::decision {
+namespace {
+
+constexpr microseconds kFirstWatch = seconds(2);
+
+// Position in job.returned of a task that the agent may start, or npos.
+constexpr std::size_t kNone = static_cast<std::size_t>(-1);
+std::size_t FindReturned(const entry_job& job, const entry_agent& agent) {
+  for (std::size_t i = 0; i < job.returned.size(); ++i) {
+    const auto& excluded = job.tasks[job.returned[i]].excluded;
+    if (std::find(excluded.begin(), excluded.end(), agent.agent_incarnation) ==
+        excluded.end()) {
+      return i;
+    }
+  }
+  return kNone;
+}
+
+class agent_placement final : public placement {
+ public:
+  explicit agent_placement(const entry_agent& agent) : agent_(agent) {}
+
+  bool Accepts(const queue_item& item) const override {
+    const auto& job = static_cast<const entry_job&>(item);
+    return job.next_fresh < job.tasks.size() ||
+           FindReturned(job, agent_) != kNone;
+  }
+
+ private:
+  const entry_agent& agent_;
+};
+
+// Takes a task out of the job's queued ones. Refused tasks go first, since
+// they have waited longest.
+task_index TakeTask(entry_job& job, const entry_agent& agent) {
+  const std::size_t position = FindReturned(job, agent);
+  if (position == kNone)
+    return static_cast<task_index>(job.next_fresh++);
+  const task_index task = job.returned[position];
+  job.returned.erase(job.returned.begin() +
+                     static_cast<std::ptrdiff_t>(position));
+  return task;
+}
+
+}  // namespace
+
+void entry_core_impl::Pump() {
+  for (kind_state* kind : ready_kinds_)
+    ServeKind(*kind);
+  ready_kinds_.clear();
+  for (entry_agent* agent : ready_agents_)
+    ServeAgent(*agent);
+  ready_agents_.clear();
+}
+
+void entry_core_impl::ServeAll() {
+  catalog_.ForEachKind([this](kind_state& kind) {
+    if (!kind.queue.empty())
+      ready_kinds_.push_back(&kind);
+  });
+}
+
+// An agent has room: it gets the most urgent work of the kinds it serves.
+void entry_core_impl::ServeAgent(entry_agent& agent) {
+  while (true) {
+    entry_job* best = nullptr;
+    for (kind_state* kind : agent.kinds) {
+      if (kind->queue.empty() || !CanTake(agent, *kind))
+        continue;
+      entry_job* next = NextFor(agent, *kind);
+      if (next == nullptr)
+        continue;
+      if (best == nullptr || std::pair(next->overdue, next->key) <
+                                 std::pair(best->overdue, best->key)) {
+        best = next;
+      }
+    }
+    if (best == nullptr)
+      return;
+    Dispatch(*best, agent);
+  }
+}
+
+// A kind has work: the routing strategy picks among the agents with room.
+void entry_core_impl::ServeKind(kind_state& kind) {
+  if (kind.queue.empty())
+    return;
+  candidates_.clear();
+  for (entry_agent* agent : kind.agents) {
+    if (CanTake(*agent, kind))
+      candidates_.push_back(agent);
+  }
+  while (!candidates_.empty() && !kind.queue.empty()) {
+    entry_agent* agent = routing_->Choose(candidates_);
+    entry_job* job = NextFor(*agent, kind);
+    if (job != nullptr)
+      Dispatch(*job, *agent);
+    if (job == nullptr || !CanTake(*agent, kind))
+      std::erase(candidates_, agent);
+  }
+}
+
+bool entry_core_impl::CanTake(const entry_agent& agent,
+                              const kind_state& kind) const {
+  if (!agent.serving() || !routing_->MaySend(agent))
+    return false;
+  if (agent.health.ejected() && !agent.health.TrialDue(now_))
+    return false;
+  if (!ordering_->divides() || kind.profile.length() == run_class::kShort)
+    return true;
+  const auto share = static_cast<std::uint32_t>(
+      static_cast<double>(agent.slots) * options_.long_share);
+  return agent.long_outstanding < std::max(share, 1U);
+}
+
+entry_job* entry_core_impl::NextFor(const entry_agent& agent,
+                                    kind_state& kind) {
+  const agent_placement place(agent);
+  return static_cast<entry_job*>(kind.queue.Next(place, now_, quota_blocked_));
+}
+
+void entry_core_impl::Dispatch(entry_job& job, entry_agent& agent) {
+  const task_index index = TakeTask(job, agent);
+  kind_state& kind = *job.kind;
+  fair_queue::Charge(job);
+  if (job.queued() == 0)
+    kind.queue.Remove(job);
+  job.quota->AddQueued(-1);
+  job.quota->AddRunning(1);
+  --kind.queued_tasks;
+  --queued_tasks_;
+  ++kind.outstanding;
+  ++job.outstanding;
+  job.life.Apply(job_signal::kDispatch);
+
+  entry_task& task = job.tasks[index];
+  task.phase = task_phase::kOutstanding;
+  task.dispatch =
+      dispatch_number{static_cast<std::uint32_t>(task.dispatch) + 1};
+  task.sent = now_;
+  task.counts_long = kind.profile.length() == run_class::kLong;
+  task.trial = agent.health.ejected();
+  if (task.trial)
+    agent.health.NoteTrial();
+  agent.credits.Spend();
+  agent.Hold(job, index);
+  first_watches_.push_back(
+      {now_ + kFirstWatch, job.sequence, index, task.dispatch});
+  ++counters_.dispatches;
+  SendDispatch(job, index, agent);
+}
+
+void entry_core_impl::SendDispatch(const entry_job& job,
+                                   task_index task,
+                                   const entry_agent& agent) {
+  wire::dispatch message;
+  message.job = job.id;
+  message.task = task;
+  message.task_count = static_cast<std::uint32_t>(job.task_count);
+  message.number = job.tasks[task].dispatch;
+  message.kind = job.kind->object.name;
+  message.start_by =
+      std::min<monotonic_time>(now_ + options_.start_by, job.deadline);
+  message.queue_length = QueueLength(agent);
+  message.payload = job.tasks[task].payload;
+  Send(agent, std::move(message));
+}
+
+void entry_core_impl::ReturnToQueue(entry_job& job, task_index task) {
+  job.tasks[task].phase = task_phase::kQueued;
+  job.returned.push_back(task);
+  job.quota->AddQueued(1);
+  ++job.kind->queued_tasks;
+  ++queued_tasks_;
+  if (job.queue == nullptr)
+    job.kind->queue.Add(job, ordering_->divides() ? job.team : std::string());
+  ready_kinds_.push_back(job.kind);
+}
+
+}  // namespace egretrack::decision
--- /dev/null
+++ b/src/decision/tests/entry_core_test.cc
@@ -0,0 +1,478 @@
+#include "egretrack/decision/entry_core.h"
+
+#include <gtest/gtest.h>
+
+#include "decision/tests/entry_fixture.h"
+
+namespace egretrack::decision {
+namespace {
+
+using wire::task_state;
+
+class EntryCore : public ::testing::Test {
+ protected:
+  EntryCore() { driver_.Configure(); }
+
+  std::vector<entry_driver::sent_message<wire::dispatch>> Dispatches() {
+    return driver_.TakeSent<wire::dispatch>();
+  }
+
+  entry_driver driver_;
+};
+
+// Guards the path from submission to answer, and the order of the results.
+TEST_F(EntryCore, AnswersWholeJob) {
+  driver_.Join(1, 2);
+  const caller_token caller = driver_.Submit(3);
+  auto sent = Dispatches();
+  ASSERT_EQ(sent.size(), 2U);  // No more than the credits.
+  driver_.Report(1, sent[1].message, task_state::kFinished, 3);
+  EXPECT_EQ(driver_.AnswerOf(caller), nullptr);
+  driver_.Report(1, sent[0].message, task_state::kFinished);
+  sent = Dispatches();
+  ASSERT_EQ(sent.size(), 1U);
+  driver_.Report(1, sent[0].message, task_state::kFinished);
+  const job_answer_ptr answer = driver_.AnswerOf(caller);
+  ASSERT_NE(answer, nullptr);
+  EXPECT_EQ(answer->outcome, job_outcome::kAnswered);
+  ASSERT_EQ(answer->tasks.size(), 3U);
+  EXPECT_EQ(answer->tasks[1].result, "r1");
+  const auto ended = driver_.Take<job_ended>();
+  ASSERT_EQ(ended.size(), 1U);
+  EXPECT_TRUE(ended[0].on_time);
+  EXPECT_EQ(ended[0].task_count, 3U);
+}
+
+// Guards against a refusal that claims "not run" for a task that may run.
+TEST_F(EntryCore, DeadlineWithNothingSentIsRefused) {
+  driver_.Join(1, 0);
+  const caller_token caller = driver_.Submit(2);
+  driver_.Wait(milliseconds(2000));
+  const job_answer_ptr answer = driver_.AnswerOf(caller);
+  ASSERT_NE(answer, nullptr);
+  EXPECT_EQ(answer->outcome, job_outcome::kRefused);
+  EXPECT_EQ(answer->code, job_errc::kDeadlinePassed);
+  EXPECT_EQ(answer->tasks[0].outcome, task_outcome::kNotRun);
+}
+
+// Guards against a refusal while a sent task was not heard of.
+TEST_F(EntryCore, DeadlineQueriesSentTasksAndSaysUnknown) {
+  driver_.Join(1, 1);
+  const caller_token caller = driver_.Submit(2);
+  ASSERT_EQ(Dispatches().size(), 1U);
+  driver_.Wait(milliseconds(2000));
+  EXPECT_GE(driver_.TakeSent<wire::task_query>().size(), 1U);
+  EXPECT_EQ(driver_.AnswerOf(caller), nullptr);
+  driver_.Wait(milliseconds(500));
+  const job_answer_ptr answer = driver_.AnswerOf(caller);
+  ASSERT_NE(answer, nullptr);
+  EXPECT_EQ(answer->outcome, job_outcome::kOutcomeUnknown);
+  EXPECT_EQ(answer->tasks[0].outcome, task_outcome::kUnknown);
+  EXPECT_EQ(answer->tasks[1].outcome, task_outcome::kNotRun);
+}
+
+// Guards against waiting out the bound when the agent fenced every task.
+TEST_F(EntryCore, FencedTasksAfterDeadlineAreRefused) {
+  driver_.Join(1, 1);
+  const caller_token caller = driver_.Submit(1);
+  const auto sent = Dispatches();
+  driver_.Wait(milliseconds(2000));
+  driver_.Report(1, sent[0].message, task_state::kRefused);
+  const job_answer_ptr answer = driver_.AnswerOf(caller);
+  ASSERT_NE(answer, nullptr);
+  EXPECT_EQ(answer->outcome, job_outcome::kRefused);
+  EXPECT_TRUE(Dispatches().empty());
+}
+
+// Guards against "refused" for a job of which a part ran.
+TEST_F(EntryCore, PartlyRunJobFails) {
+  driver_.Join(1, 1);
+  const caller_token caller = driver_.Submit(2);
+  driver_.Report(1, Dispatches()[0].message, task_state::kFinished);
+  driver_.Wait(milliseconds(2000));
+  const job_answer_ptr answer = driver_.AnswerOf(caller);
+  ASSERT_NE(answer, nullptr);
+  EXPECT_EQ(answer->outcome, job_outcome::kFailed);
+  EXPECT_EQ(answer->code, job_errc::kDeadlinePassed);
+}
+
+// Guards against throwing away a whole result that comes a little late.
+TEST_F(EntryCore, WholeResultAfterDeadlineIsAnsweredLate) {
+  driver_.Join(1, 1);
+  const caller_token caller = driver_.Submit(1);
+  const auto sent = Dispatches();
+  driver_.Wait(milliseconds(2200));
+  driver_.Report(1, sent[0].message, task_state::kFinished);
+  ASSERT_NE(driver_.AnswerOf(caller), nullptr);
+  EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kAnswered);
+  EXPECT_FALSE(driver_.Take<job_ended>()[0].on_time);
+  // A repeated report is counted and changes nothing.
+  driver_.Report(1, sent[0].message, task_state::kFailed);
+  EXPECT_EQ(driver_.core().counters().late_reports, 1U);
+}
+
+// Guards against a second start, and against one caller getting two answers.
+TEST_F(EntryCore, ResubmissionAttachesAndRepeatsTheAnswer) {
+  driver_.Join(1, 8);
+  const job_id id = driver_.Reserve();
+  const caller_token first = driver_.Submit(1, id);
+  const caller_token second = driver_.Submit(1, id);
+  const auto sent = Dispatches();
+  ASSERT_EQ(sent.size(), 1U);
+  driver_.Report(1, sent[0].message, task_state::kFinished);
+  const caller_token third = driver_.Submit(1, id);
+  for (const caller_token caller : {first, second, third})
+    ASSERT_NE(driver_.AnswerOf(caller), nullptr);
+  EXPECT_EQ(driver_.AnswerOf(first), driver_.AnswerOf(third));
+  const caller_token other = driver_.Submit(2, id);
+  EXPECT_EQ(driver_.AnswerOf(other)->code, job_errc::kIdReused);
+  EXPECT_NE(driver_.AnswerOf(other)->outcome, job_outcome::kRefused);
+}
+
+// Guards against an id outliving the record of its job, and against "not run"
+// in that case.
+TEST_F(EntryCore, ExpiredIdClaimsNothing) {
+  driver_.Join(1, 1);
+  const job_id id = driver_.Reserve();
+  driver_.Submit(1, id);
+  driver_.Report(1, Dispatches()[0].message, task_state::kFinished);
+  driver_.Wait(seconds(121));
+  const caller_token caller = driver_.Submit(1, id);
+  EXPECT_EQ(driver_.AnswerOf(caller)->code, job_errc::kIdExpired);
+  EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kOutcomeUnknown);
+}
+
+// Guards against an entry starting a job whose home is another.
+TEST_F(EntryCore, ForeignIdIsForwardedThenLookedUp) {
+  driver_.Join(1, 8);
+  driver_.Join(2, 8);
+  const job_id id{"e2", incarnation{7}, 1, 2};
+  const caller_token caller = driver_.Submit(2, id);
+  ASSERT_EQ(driver_.Take<forward_to_home>().size(), 1U);
+  driver_.Handle(home_unreachable{caller, id});
+  const auto asked = driver_.TakeSent<wire::job_lookup>();
+  ASSERT_EQ(asked.size(), 2U);
+  wire::job_records records{asked[0].message.lookup, id, {}};
+  records.records = {{0, 2, task_state::kFinished, {}, "r0"}};
+  driver_.FromAgent(1, 1, records);
+  driver_.FromAgent(1, 1, records);
+  EXPECT_EQ(driver_.AnswerOf(caller), nullptr);
+  records.records = {{1, 2, task_state::kFinished, {}, "r1"}};
+  driver_.FromAgent(2, 1, records);
+  ASSERT_NE(driver_.AnswerOf(caller), nullptr);
+  EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kAnswered);
+  EXPECT_EQ(driver_.AnswerOf(caller)->tasks[1].result, "r1");
+  EXPECT_TRUE(Dispatches().empty());
+}
+
+// Guards against "not run" on the word of an agent, and an endless wait.
+TEST_F(EntryCore, LookupOfOwnFormerIncarnationEndsUnknown) {
+  driver_.Join(1, 8);
+  const job_id id{"e1", incarnation{7}, 1, 2};
+  const caller_token caller = driver_.Submit(1, id);
+  ASSERT_EQ(driver_.TakeSent<wire::job_lookup>().size(), 1U);
+  driver_.Wait(milliseconds(500));
+  ASSERT_NE(driver_.AnswerOf(caller), nullptr);
+  EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kOutcomeUnknown);
+}
+
+// Guards against use of old credits, and against lost messages of the old
+// connection staying unnoticed.
+TEST_F(EntryCore, ReconnectResetsCreditsAndQueries) {
+  driver_.Join(1, 5);
+  driver_.Submit(1);
+  ASSERT_EQ(Dispatches().size(), 1U);
+  driver_.FromAgent(11, 2, entry_driver::Hello("a1", 1));
+  EXPECT_EQ(driver_.TakeSent<wire::task_query>().size(), 1U);
+  driver_.Submit(1);
+  EXPECT_TRUE(Dispatches().empty());
+  driver_.FromAgent(1, 1, wire::grant{9});  // Of the old connection.
+  EXPECT_TRUE(Dispatches().empty());
+  EXPECT_EQ(driver_.core().counters().stale_frames, 1U);
+  driver_.FromAgent(11, 2, wire::grant{1});
+  EXPECT_EQ(Dispatches().size(), 1U);
+}
+
+// Guards against a second start after the records of an agent are lost.
+TEST_F(EntryCore, RestartedAgentMakesItsTasksUnknown) {
+  driver_.Join(1, 2);
+  const caller_token caller = driver_.Submit(2);
+  ASSERT_EQ(Dispatches().size(), 2U);
+  driver_.FromAgent(11, 1, entry_driver::Hello("a1", 99));
+  driver_.FromAgent(11, 1, wire::grant{4});
+  EXPECT_TRUE(Dispatches().empty());
+  ASSERT_NE(driver_.AnswerOf(caller), nullptr);
+  EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kOutcomeUnknown);
+}
+
+// Guards the retry of single idempotent requests, and a later refusal that
+// would hide the first attempt.
+TEST_F(EntryCore, IdempotentSingleIsRetriedAfterUnknown) {
+  driver_.Join(1, 1);
+  const caller_token caller = driver_.Submit(1, std::nullopt, "read");
+  ASSERT_EQ(Dispatches().size(), 1U);
+  driver_.FromAgent(11, 1, entry_driver::Hello("a1", 99));
+  driver_.FromAgent(11, 1, wire::grant{1});
+  EXPECT_EQ(Dispatches().size(), 1U);
+  EXPECT_EQ(driver_.core().counters().retries, 1U);
+  driver_.Wait(milliseconds(3000));
+  EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kOutcomeUnknown);
+}
+
+// Guards against messages of a link whose agent is not known.
+TEST_F(EntryCore, FramesBeforeHelloAreDropped) {
+  driver_.FromAgent(1, 1, entry_driver::Heartbeat(8));
+  EXPECT_TRUE(driver_.TakeSent<wire::heartbeat_reply>().empty());
+  EXPECT_EQ(driver_.core().counters().stale_frames, 1U);
+  EXPECT_FALSE(driver_.core().ready());
+}
+
+// Guards against agents that stay on an old configuration, and against a
+// return to a lower version.
+TEST_F(EntryCore, ConfigurationOnlyRises) {
+  driver_.Join(1, 0);
+  driver_.Configure(MakeConfiguration(3));
+  driver_.Configure(MakeConfiguration(2));
+  driver_.FromAgent(1, 1, entry_driver::Heartbeat(0));
+  const auto replies = driver_.TakeSent<wire::heartbeat_reply>();
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(replies[0].message.config_version, 3U);
+  EXPECT_EQ(replies[0].message.config_document, "version 3");
+  EXPECT_EQ(replies[0].message.entry_time, driver_.now());
+  driver_.FromAgent(1, 1, wire::config_offer{2, "old"});
+  EXPECT_TRUE(driver_.Take<configuration_offered>().empty());
+  driver_.FromAgent(1, 1, wire::config_offer{4, "new"});
+  EXPECT_EQ(driver_.Take<configuration_offered>().size(), 1U);
+}
+
+// Guards against a dispatch before the key is bound, and against two jobs for
+// one key.
+TEST_F(EntryCore, KeyIsBoundBeforeTheFirstDispatch) {
+  driver_.Join(1, 8);
+  const caller_token first =
+      driver_.Submit(1, std::nullopt, "find", "", "order-1");
+  auto binds = driver_.Take<bind_key>();
+  ASSERT_EQ(binds.size(), 1U);
+  EXPECT_TRUE(Dispatches().empty());
+  driver_.Handle(key_bound{binds[0].id, key_binding::kBound, {}});
+  const auto sent = Dispatches();
+  ASSERT_EQ(sent.size(), 1U);
+  const caller_token second =
+      driver_.Submit(1, std::nullopt, "find", "", "order-1");
+  const auto again = driver_.Take<bind_key>();
+  driver_.Handle(
+      key_bound{again[0].id, key_binding::kBoundToOther, binds[0].id});
+  driver_.Report(1, sent[0].message, task_state::kFinished);
+  EXPECT_EQ(driver_.AnswerOf(first), driver_.AnswerOf(second));
+  EXPECT_NE(driver_.AnswerOf(first), nullptr);
+  EXPECT_TRUE(Dispatches().empty());
+}
+
+// Guards against "not run" while an earlier attempt may hold the key.
+TEST_F(EntryCore, UnboundKeysAreRefusedTruthfully) {
+  driver_.Join(1, 8);
+  const caller_token clean = driver_.Submit(1, std::nullopt, "find", "", "k1");
+  const caller_token open = driver_.Submit(1, std::nullopt, "find", "", "k2");
+  const auto binds = driver_.Take<bind_key>();
+  driver_.Handle(key_bound{binds[0].id, key_binding::kNotBound, {}});
+  EXPECT_EQ(driver_.AnswerOf(clean)->code, job_errc::kTableUnavailable);
+  EXPECT_EQ(driver_.AnswerOf(clean)->outcome, job_outcome::kRefused);
+  driver_.Wait(milliseconds(2000));
+  EXPECT_EQ(driver_.AnswerOf(open)->outcome, job_outcome::kOutcomeUnknown);
+  driver_.Handle(key_bound{binds[1].id, key_binding::kBound, {}});
+  EXPECT_TRUE(Dispatches().empty());
+}
+
+// Guards against a refused task staying lost, or going back to the agent that
+// has a record of it.
+TEST_F(EntryCore, RefusedTaskGoesToAnotherAgent) {
+  driver_.Join(1, 1);
+  const caller_token caller = driver_.Submit(1);
+  const auto first = Dispatches();
+  driver_.Report(1, first[0].message, task_state::kRefused, 2);
+  EXPECT_TRUE(Dispatches().empty());
+  driver_.Join(2, 1);
+  const auto second = Dispatches();
+  ASSERT_EQ(second.size(), 1U);
+  EXPECT_EQ(second[0].link, 2U);
+  EXPECT_NE(second[0].message.number, first[0].message.number);
+  driver_.Report(2, second[0].message, task_state::kFinished);
+  EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kAnswered);
+}
+
+// Guards against a dispatch after the cancellation, and against calling a
+// job cancelled that ran.
+TEST_F(EntryCore, CancelRemovesQueuedTasksFirst) {
+  driver_.Join(1, 2);
+  const job_id id = driver_.Reserve();
+  const caller_token caller = driver_.Submit(4, id);
+  const auto sent = Dispatches();
+  const caller_token canceller = driver_.NewCaller();
+  driver_.Handle(cancel_request{canceller, id, false});
+  EXPECT_EQ(driver_.TakeSent<wire::job_cancel>().size(), 1U);
+  EXPECT_EQ(driver_.AnswerOf(canceller)->outcome, job_outcome::kPending);
+  driver_.Report(1, sent[0].message, task_state::kRefused, 8);
+  driver_.Report(1, sent[1].message, task_state::kRefused, 8);
+  EXPECT_TRUE(Dispatches().empty());
+  EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kRefused);
+  EXPECT_EQ(driver_.AnswerOf(caller)->code, job_errc::kCancelled);
+}
+
+// Guards against a drain that interrupts jobs, or ends twice.
+TEST_F(EntryCore, DrainFinishesJobsOnce) {
+  driver_.Join(1, 8);
+  EXPECT_TRUE(driver_.core().ready());
+  driver_.Handle(drain_entry{});
+  EXPECT_FALSE(driver_.core().ready());
+  driver_.Submit(1);
+  const auto sent = Dispatches();
+  ASSERT_EQ(sent.size(), 1U);  // Within the grace time.
+  driver_.Wait(milliseconds(1900));
+  driver_.Handle(drain_entry{});
+  driver_.Wait(milliseconds(150));
+  const caller_token late = driver_.Submit(1);
+  EXPECT_EQ(driver_.AnswerOf(late)->code, job_errc::kDraining);
+  EXPECT_TRUE(driver_.Take<drain_finished>().empty());
+  driver_.Report(1, sent[0].message, task_state::kFinished);
+  driver_.Wait(milliseconds(500));
+  EXPECT_EQ(driver_.Take<drain_finished>().size(), 1U);
+}
+
+// Guards against work for agents that are leaving or silent.
+TEST_F(EntryCore, DrainingAndSilentAgentsGetNothing) {
+  driver_.Join(1, 8);
+  driver_.Join(2, 8);
+  wire::heartbeat leaving = entry_driver::Heartbeat(8);
+  leaving.draining = true;
+  driver_.FromAgent(1, 1, leaving);
+  driver_.Submit(2);
+  for (const auto& sent : Dispatches())
+    EXPECT_EQ(sent.link, 2U);
+  driver_.Wait(milliseconds(2200));
+  driver_.Submit(1);
+  EXPECT_TRUE(Dispatches().empty());
+}
+
+// Guards against jobs that can never run being queued, and each refusal being
+// silent in the metrics.
+TEST_F(EntryCore, ImpossibleJobsAreRefusedAtOnce) {
+  driver_.Join(1, 8);
+  EXPECT_EQ(driver_.AnswerOf(driver_.Submit(0))->code, job_errc::kNoTasks);
+  EXPECT_EQ(driver_.AnswerOf(driver_.Submit(1201))->code,
+            job_errc::kTooManyTasks);
+  EXPECT_EQ(driver_.AnswerOf(driver_.Submit(1, std::nullopt, "unheard"))->code,
+            job_errc::kUnknownKind);
+  // 1,200 tasks of 100 ms need 15 s on 8 slots.
+  const caller_token big = driver_.Submit(1200);
+  EXPECT_EQ(driver_.AnswerOf(big)->code, job_errc::kDeadlineUnreachable);
+  EXPECT_EQ(driver_.AnswerOf(big)->outcome, job_outcome::kRefused);
+  EXPECT_EQ(driver_.Take<job_ended>().size(), 4U);
+}
+
+// Guards against a backlog that no later job can outlive.
+TEST_F(EntryCore, BacklogRefusesWithAdvice) {
+  driver_.Join(1, 0);
+  caller_token last{};
+  for (int i = 0; i < 100; ++i)
+    last = driver_.Submit(1);
+  EXPECT_EQ(driver_.AnswerOf(last)->code, job_errc::kOverloaded);
+  EXPECT_GT(driver_.AnswerOf(last)->retry_after.count(), 0);
+}
+
+// Guards against a team that holds more than its quota, or that loses its
+// place when the quota is free again.
+TEST(EntryCoreQuota, BoundsRunningTasksOfTeamAndParent) {
+  entry_options options = MakeOptions();
+  options.peers.clear();
+  entry_driver driver(options);
+  objects::configuration set = MakeConfiguration(1);
+  set.objects.limits = {{"north", "desk", "north", 1, 2, 0, "sicily"},
+                        {"sicily", "desk", "sicily", 1, 3, 0, ""},
+                        {"south", "desk", "south", 1, 2, 0, "sicily"}};
+  driver.Configure(set);
+  driver.Join(1, 100);
+  driver.Submit(4, std::nullopt, "find", "north");
+  driver.Submit(4, std::nullopt, "find", "south");
+  auto sent = driver.TakeSent<wire::dispatch>();
+  ASSERT_EQ(sent.size(), 3U);
+  driver.Report(1, sent[0].message, task_state::kFinished);
+  EXPECT_EQ(driver.TakeSent<wire::dispatch>().size(), 1U);
+  const caller_token stranger =
+      driver.Submit(1, std::nullopt, "find", "nobody");
+  EXPECT_EQ(driver.AnswerOf(stranger)->code, job_errc::kUnknownTeam);
+}
+
+// Guards against long work that takes every slot of an agent from short work.
+TEST_F(EntryCore, LongWorkLeavesSlotsToShortWork) {
+  driver_.Join(1, 8);
+  submission plan{"plan", "", seconds(20), std::vector<std::string>(8, "p")};
+  driver_.Handle(submit_request{driver_.NewCaller(), {}, plan, false, ""});
+  EXPECT_EQ(Dispatches().size(), 4U);
+  driver_.Submit(4);
+  EXPECT_EQ(Dispatches().size(), 4U);
+}
+
+// Guards against a black-hole agent that fails all it gets.
+TEST_F(EntryCore, FailingAgentIsEjectedAndTried) {
+  driver_.Join(1, 1);
+  driver_.Join(2, 1);
+  std::uint64_t granted = 1;
+  for (int i = 0; i < 20; ++i) {
+    driver_.Submit(1);
+    driver_.Submit(1);
+    ++granted;
+    for (const auto& sent : Dispatches()) {
+      driver_.Report(
+          sent.link, sent.message,
+          sent.link == 1 ? task_state::kFailed : task_state::kFinished,
+          granted);
+    }
+  }
+  EXPECT_EQ(driver_.core().counters().ejections, 1U);
+  driver_.Submit(1);
+  for (const auto& sent : Dispatches()) {
+    EXPECT_EQ(sent.link, 2U);
+    driver_.Report(2, sent.message, task_state::kFinished);
+  }
+  // The trial is one task of the backlog; its success brings the agent back.
+  driver_.Wait(milliseconds(1200));
+  driver_.FromAgent(1, 1, entry_driver::Heartbeat(granted + 8));
+  driver_.Submit(3);
+  const auto trial = Dispatches();
+  ASSERT_EQ(trial.size(), 1U);
+  driver_.Report(1, trial[0].message, task_state::kFinished);
+  EXPECT_GT(Dispatches().size(), 1U);
+}
+
+// Guards against push strategies that wait for credits.
+TEST(EntryCoreRouting, PushNeedsNoCredits) {
+  for (const routing_policy policy :
+       {routing_policy::kRoundRobin, routing_policy::kLeastOutstanding}) {
+    entry_options options = MakeOptions();
+    options.routing = policy;
+    entry_driver driver(options);
+    driver.Configure();
+    driver.Join(1, 0);
+    driver.Join(2, 0);
+    driver.Submit(20);
+    const auto sent = driver.TakeSent<wire::dispatch>();
+    EXPECT_EQ(sent.size(), 20U);
+    const auto first = std::count_if(sent.begin(), sent.end(),
+                                     [](const auto& s) { return s.link == 1; });
+    EXPECT_GT(first, 4);
+    EXPECT_LT(first, 16);
+  }
+}
+
+// Guards against options that no process can work with.
+TEST(EntryCoreCreate, RejectsOptionsOutOfRange) {
+  entry_options options = MakeOptions();
+  options.retry_budget = 2;
+  EXPECT_FALSE(entry_core::Create(options).has_value());
+  options = MakeOptions();
+  options.entry = "No Name";
+  EXPECT_FALSE(entry_core::Create(options).has_value());
+}
+
+}  // namespace
+}  // namespace egretrack::decision
