--- /dev/null
+++ b/src/decision/tests/agent_home_clock_test.cc
@@ -0,0 +1,63 @@
+#include "decision/agent_home_clock.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck.h>
+
+#include <cmath>
+
+namespace egretrack::decision {
+namespace {
+
+constexpr double kDrift = 0.001;
+
+// Guards against a bound that the home's clock has passed already, for any
+// delay of the exchange and any rate that the drift allows.
+TEST(HomeClock, BoundHoldsForEveryDelayAndRate) {
+  EXPECT_TRUE(rc::check("bound", [] {
+    const double rate = 1 + kDrift * *rc::gen::inRange(-1000, 1001) / 1000;
+    const auto time = rc::gen::inRange<std::int64_t>(0, 1000000000);
+    const std::int64_t ahead = *time;
+    // The home's clock when ours shows `at`.
+    const auto home_at = [&](double at) {
+      return static_cast<double>(ahead) + at * rate;
+    };
+    const std::int64_t sent = *time;
+    const auto replied = static_cast<double>(sent + *time);
+    home_clock clock(kDrift);
+    wire::heartbeat_reply reply;
+    reply.entry = "e1";
+    reply.entry_time = monotonic_time(
+        microseconds(static_cast<std::int64_t>(home_at(replied))));
+    clock.Observe(reply, monotonic_time(microseconds(sent)));
+    const monotonic_time limit = reply.entry_time + microseconds(*time);
+    const job_id job{"e1", incarnation{}, 0, 0};
+    const monotonic_time before = clock.SurelyBefore(job, limit);
+    if (before != monotonic_time::min()) {
+      const auto last = static_cast<double>(before.time_since_epoch().count());
+      RC_ASSERT(last < replied ||
+                home_at(last) <=
+                    static_cast<double>(limit.time_since_epoch().count()));
+    }
+  }));
+}
+
+// Guards against the clock of one entry or incarnation standing in for
+// another's.
+TEST(HomeClock, KnowsOnlyTheIncarnationThatAnswered) {
+  home_clock clock(kDrift);
+  const monotonic_time limit{seconds(100)};
+  const job_id job{"e1", incarnation{3}, 0, 0};
+  EXPECT_EQ(clock.SurelyBefore(job, limit), monotonic_time::min());
+  wire::heartbeat_reply reply;
+  reply.entry = "e1";
+  reply.entry_incarnation = incarnation{3};
+  clock.Observe(reply, monotonic_time(seconds(1)));
+  EXPECT_GT(clock.SurelyBefore(job, limit), monotonic_time(seconds(99)));
+  EXPECT_EQ(clock.SurelyBefore({"e2", incarnation{3}, 0, 0}, limit),
+            monotonic_time::min());
+  EXPECT_EQ(clock.SurelyBefore({"e1", incarnation{4}, 0, 0}, limit),
+            monotonic_time::min());
+}
+
+}  // namespace
+}  // namespace egretrack::decision
--- a/src/include/egretrack/decision/agent_core.h
+++ b/src/include/egretrack/decision/agent_core.h
@@ -77,6 +77,9 @@
   std::string payload;
   std::string address;
   std::uint16_t port = 0;
+  // On the agent's clock. A call that is only made later must not be made; it
+  // ends as refused with kStartByPassed.
+  monotonic_time start_before{};
 };
 
 struct agent_report {
@@ -86,6 +89,7 @@
   std::uint64_t config_version = 0;
   std::uint32_t slots = 0;
   std::uint32_t slots_in_use = 0;
+  std::uint32_t tasks_held = 0;  // Accepted, waiting for a slot.
   std::uint32_t credits_lent = 0;
   std::size_t records = 0;
   bool draining = false;
@@ -129,6 +133,7 @@
   std::uint64_t duplicates = 0;  // Dispatches answered from the record.
   std::uint64_t starts = 0;
   std::uint64_t refusals = 0;
+  std::uint64_t unrecorded = 0;    // Refusals not sent for want of a record.
   std::uint64_t stale_frames = 0;  // Of an older connection; dropped.
   std::uint64_t reconnects = 0;
   std::uint64_t credit_messages = 0;
