Check configurations before an agent adopts them

The agent kept any document that came with a higher version; an entry that starts during an outage would have been offered it. Only documents that LoadConfiguration accepts are kept now, and a rejected version is parsed once. The event table moves to base, because the agent process uses it as well, and base gains ReplaceFile for the ports file.

--- a/src/base/file.cc
+++ b/src/base/file.cc
@@ -1,6 +1,7 @@
 #include "egretrack/base/file.h"
 
 #include <array>
+#include <filesystem>
 #include <fstream>
 
 namespace egretrack {
@@ -20,4 +21,18 @@
   return text;
 }
 
+result<void> ReplaceFile(std::string_view path, std::string_view text) {
+  const std::string temporary = std::string(path) + ".tmp";
+  std::ofstream output(temporary, std::ios::binary | std::ios::trunc);
+  output << text;
+  output.close();
+  if (!output.good())
+    return MakeError(errc::kSystem, temporary);
+  std::error_code failure;
+  std::filesystem::rename(temporary, std::string(path), failure);
+  if (failure)
+    return MakeError(errc::kSystem, path);
+  return {};
+}
+
 }  // namespace egretrack
--- a/src/base/tests/file_test.cc
+++ b/src/base/tests/file_test.cc
@@ -18,5 +18,16 @@
   EXPECT_GT(text->size(), 10000U);
 }
 
+// Guards against a reader that sees half of a file, and against a failure that
+// goes unnoticed.
+TEST(ReplaceFile, ReplacesTheWholeText) {
+  const std::string path = testing::TempDir() + "replace_file_test";
+  ASSERT_TRUE(ReplaceFile(path, "a longer text").has_value());
+  ASSERT_TRUE(ReplaceFile(path, "short").has_value());
+  EXPECT_EQ(ReadFile(path).value(), "short");
+  EXPECT_EQ(ReplaceFile(testing::TempDir() + "none/file", "x").error().code,
+            errc::kSystem);
+}
+
 }  // namespace
 }  // namespace egretrack
--- a/src/decision/agent_core.cc
+++ b/src/decision/agent_core.cc
@@ -5,12 +5,13 @@
 #include <string_view>
 #include <utility>
 
+#include "decision/agent_configuration.h"
 #include "decision/agent_credit_lender.h"
 #include "decision/agent_endpoint.h"
-#include "decision/agent_event_table.h"
 #include "decision/agent_life_cycles.h"
 #include "decision/agent_links.h"
 #include "decision/agent_tasks.h"
+#include "egretrack/base/event_table.h"
 
 namespace egretrack::decision {
 namespace {
@@ -19,11 +20,6 @@
 constexpr seconds kConfirmBound{2};
 constexpr double kMaxClockDrift = 0.1;
 
-struct held_configuration {
-  std::uint64_t version = 0;
-  std::string document;
-};
-
 class core final : public agent_core {
  public:
   explicit core(agent_options options)
@@ -99,7 +95,7 @@
   monotonic_time NextOpening() const;
   void ExchangeConfiguration(agent_turn& turn,
                              entry_index entry,
-                             wire::heartbeat_reply& reply);
+                             const wire::heartbeat_reply& reply);
 
   // ---- State ----
   void ApplyEndpointChange(agent_turn& turn, bool changed);
@@ -116,7 +112,7 @@
   credit_lender lender_;
   agent_tasks tasks_;
   drain_life_cycle drain_;
-  held_configuration configuration_;
+  agent_configuration configuration_;
   std::optional<monotonic_time> next_heartbeats_;  // Empty before the first.
   monotonic_time confirm_deadline_ = monotonic_time::max();
 };
@@ -179,7 +175,7 @@
   report.agent = options_.agent;
   report.agent_incarnation = options_.agent_incarnation;
   report.endpoint = endpoint_.name();
-  report.config_version = configuration_.version;
+  report.config_version = configuration_.version();
   report.slots = options_.slots;
   report.slots_in_use = tasks_.running();
   report.tasks_held = static_cast<std::uint32_t>(tasks_.held());
@@ -262,7 +258,7 @@
   hello.endpoint = endpoint_.name();
   hello.failure_domain = options_.failure_domain;
   hello.slots = options_.slots;
-  hello.config_version = configuration_.version;
+  hello.config_version = configuration_.version();
   hello.draining = draining();
   links_.Send(turn, entry, std::move(hello));
   SendHeartbeat(turn, entry);
@@ -274,7 +270,7 @@
   heartbeat.endpoint = endpoint_.name();
   heartbeat.slots = options_.slots;
   heartbeat.slots_in_use = tasks_.running();
-  heartbeat.config_version = configuration_.version;
+  heartbeat.config_version = configuration_.version();
   heartbeat.granted_total = lender_.Tell(entry);
   heartbeat.draining = draining();
   links_.Send(turn, entry, std::move(heartbeat));
@@ -296,15 +292,11 @@
 
 void core::ExchangeConfiguration(agent_turn& turn,
                                  entry_index entry,
-                                 wire::heartbeat_reply& reply) {
-  if (reply.config_version > configuration_.version &&
-      !reply.config_document.empty()) {
-    configuration_ = {reply.config_version, std::move(reply.config_document)};
-  } else if (reply.config_version < configuration_.version &&
-             links_[entry].MayOfferConfiguration(turn.now)) {
-    links_.Send(
-        turn, entry,
-        wire::config_offer{configuration_.version, configuration_.document});
+                                 const wire::heartbeat_reply& reply) {
+  configuration_.Adopt(reply.config_version, reply.config_document);
+  if (reply.config_version < configuration_.version() &&
+      links_[entry].MayOfferConfiguration(turn.now)) {
+    links_.Send(turn, entry, configuration_.Offer());
   }
 }
 
--- a/src/decision/tests/agent_core_test.cc
+++ b/src/decision/tests/agent_core_test.cc
@@ -255,13 +255,15 @@
     agent.Deliver(0, reply);
     return agent.Report().config_version;
   };
-  EXPECT_EQ(answer(5, "five"), 5U);
-  EXPECT_EQ(answer(4, "four"), 5U);
+  const std::string five = "[desk.banco-turni]\nobjective = 0.99\n";
+  EXPECT_EQ(answer(5, five), 5U);
+  EXPECT_EQ(answer(4, "[desk.turni]\n"), 5U);
   EXPECT_EQ(agent.Last<wire::config_offer>(0).version, 5U);
-  EXPECT_EQ(agent.Last<wire::config_offer>(0).document, "five");
+  EXPECT_EQ(agent.Last<wire::config_offer>(0).document, five);
   EXPECT_EQ(answer(0, ""), 5U);
   EXPECT_EQ(agent.Sent<wire::config_offer>(0).size(), 1U);
   EXPECT_EQ(answer(6, ""), 5U);
+  EXPECT_EQ(answer(7, "not a document"), 5U);
 }
 
 // Guards against a shutdown that interrupts work, or ends before the entries
--- a/src/decision/agent_event_table.h
+++ b/src/include/egretrack/base/event_table.h
@@ -1,12 +1,12 @@
-#ifndef EGRETRACK_DECISION_AGENT_EVENT_TABLE_H_
-#define EGRETRACK_DECISION_AGENT_EVENT_TABLE_H_
+#ifndef EGRETRACK_BASE_EVENT_TABLE_H_
+#define EGRETRACK_BASE_EVENT_TABLE_H_
 
 #include <array>
 #include <cstddef>
 #include <utility>
 #include <variant>
 
-namespace egretrack::decision {
+namespace egretrack {
 
 // Calls the member of a table that stands at the index of the variant's
 // alternative. `Members` are in the order of the alternatives; each takes its
@@ -40,6 +40,6 @@
   }
 };
 
-}  // namespace egretrack::decision
+}  // namespace egretrack
 
-#endif  // EGRETRACK_DECISION_AGENT_EVENT_TABLE_H_
+#endif  // EGRETRACK_BASE_EVENT_TABLE_H_
--- a/src/include/egretrack/base/file.h
+++ b/src/include/egretrack/base/file.h
@@ -12,6 +12,10 @@
 // errc::kSystem when it cannot be read, as with a folder.
 result<std::string> ReadFile(std::string_view path);
 
+// Writes a temporary file beside `path` and renames it, so that a reader sees
+// the whole text or none. Errors: errc::kSystem.
+result<void> ReplaceFile(std::string_view path, std::string_view text);
+
 }  // namespace egretrack
 
 #endif  // EGRETRACK_BASE_FILE_H_
