net: add the HTTP server and client

The entry, the agent, the table client and the stand-ins need HTTP whose limits and failures are typed. This adds both sides on Asio and Beast, which stay in the sources.

Server: one strand per connection, sessions kept alive by their pending operations and by the exchange. Malformed (400), slow (408), too large (413, 431) requests and connections past the limit (503) are answered with a JSON error. After a refusal input is discarded for up to 1 s, because a close with unread input resets the connection and can destroy the response. A closed caller is noticed by the read that also serves as the idle read.

Client: pooled connections are checked before use; one that closed before a byte was written is replaced. A write that is pending when a call ends counts as sent. A response without a length is refused: its end could not be told from a cut.

--- /dev/null
+++ b/src/net/connection_pool.cc
@@ -0,0 +1,49 @@
+#include "net/connection_pool.h"
+
+#include <array>
+#include <utility>
+
+#include <boost/asio/buffer.hpp>
+
+namespace egretrack::net {
+namespace {
+
+// Below the idle timeout of the servers (30 s), so that a request rarely meets
+// a connection that is being closed.
+constexpr seconds kMaxIdle{15};
+
+// An idle connection has nothing to read; input or an end means that the other
+// side closed it or broke the protocol.
+bool IsQuiet(connection_pool::socket& connection) {
+  boost::system::error_code failure;
+  connection.non_blocking(true, failure);
+  std::array<char, 1> byte{};
+  connection.receive(boost::asio::buffer(byte),
+                     connection_pool::socket::message_peek, failure);
+  return failure == boost::asio::error::would_block;
+}
+
+}  // namespace
+
+std::optional<connection_pool::socket> connection_pool::Take(
+    const std::string& address) {
+  const std::lock_guard lock(mutex_);
+  auto& idle = idle_[address];
+  while (!idle.empty()) {
+    idle_connection latest = std::move(idle.back());
+    idle.pop_back();
+    const bool fresh = monotonic_clock::now() - latest.since < kMaxIdle;
+    if (fresh && IsQuiet(latest.connection))
+      return std::move(latest.connection);
+  }
+  return std::nullopt;
+}
+
+void connection_pool::Put(const std::string& address, socket connection) {
+  const std::lock_guard lock(mutex_);
+  auto& idle = idle_[address];
+  if (idle.size() < limit_)
+    idle.push_back({std::move(connection), monotonic_clock::now()});
+}
+
+}  // namespace egretrack::net
--- /dev/null
+++ b/src/net/http_call.cc
@@ -0,0 +1,213 @@
+#include "net/http_call.h"
+
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace egretrack::net {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+
+constexpr std::uint32_t kMaxHeaderBytes = 65536;
+constexpr unsigned kFirstFinalStatus = 200;
+
+std::error_code ToErrc(const boost::system::error_code& failure) {
+  if (failure == http::error::body_limit ||
+      failure == http::error::header_limit)
+    return errc::kTooLarge;
+  const bool cut = failure == http::error::end_of_stream ||
+                   failure == http::error::partial_message;
+  const auto& http_category =
+      make_error_code(http::error::end_of_stream).category();
+  if (failure.category() == http_category && !cut)
+    return errc::kParseFailed;
+  return errc::kUnavailable;
+}
+
+}  // namespace
+
+http_call::http_call(std::shared_ptr<http_client_state> client,
+                     const tcp_address& address,
+                     http_request request,
+                     milliseconds timeout,
+                     http_client::callback done)
+    : client_(std::move(client)),
+      address_(address),
+      address_text_(address.ToString()),
+      timeout_(timeout),
+      done_(std::move(done)),
+      socket_(TakeConnection()),
+      total_timer_(socket_.get_executor()),
+      connect_timer_(socket_.get_executor()),
+      message_(ToBeast(std::move(request), address)),
+      serializer_(message_) {
+  const std::lock_guard lock(client_->mutex);
+  client_->calls.insert(this);
+}
+
+http_call::~http_call() {
+  const std::lock_guard lock(client_->mutex);
+  client_->calls.erase(this);
+}
+
+http_call::socket http_call::TakeConnection() {
+  auto idle = client_->pool.Take(address_text_);
+  reused_ = idle.has_value();
+  if (reused_)
+    return std::move(*idle);
+  return socket(asio::make_strand(client_->io.context()));
+}
+
+void http_call::Start() {
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()] { self->Begin(); });
+}
+
+void http_call::Abort() {
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    self->Fail(errc::kUnavailable, "the client is shutting down");
+  });
+}
+
+void http_call::Begin() {
+  if (client_->stopping)
+    return Fail(errc::kUnavailable, "the client is shutting down");
+  if (timeout_.count() > 0) {
+    total_timer_.Start(timeout_, [self = shared_from_this()] {
+      self->Fail(errc::kTimeout, "no response in time");
+    });
+  }
+  if (reused_)
+    return WriteSome();
+  Connect();
+}
+
+void http_call::Connect() {
+  error_code failure;
+  const auto ip = asio::ip::make_address(address_.host, failure);
+  if (failure)
+    return Fail(errc::kInvalidArgument, "not an IP address");
+  connect_timer_.Start(client_->options.connect_timeout,
+                       [self = shared_from_this()] {
+                         self->Fail(errc::kTimeout, "no connection in time");
+                       });
+  socket_.async_connect(tcp::endpoint(ip, address_.port),
+                        [self = shared_from_this()](const error_code& error) {
+                          self->OnConnected(error);
+                        });
+}
+
+void http_call::OnConnected(const error_code& failure) {
+  if (!done_)
+    return;
+  connect_timer_.Stop();
+  if (failure)
+    return Fail(errc::kUnavailable, "connect: " + failure.message());
+  error_code ignored;
+  socket_.set_option(tcp::no_delay(true), ignored);
+  WriteSome();
+}
+
+void http_call::WriteSome() {
+  // A call that ends while the write is pending can't know whether the write
+  // took effect.
+  stage_ = call_stage::kSent;
+  http::async_write_some(
+      socket_, serializer_,
+      [self = shared_from_this()](const error_code& failure, std::size_t size) {
+        self->OnWritten(failure, size);
+      });
+}
+
+void http_call::OnWritten(const error_code& failure, std::size_t size) {
+  if (!done_)
+    return;
+  written_ += size;
+  if (written_ == 0)
+    stage_ = call_stage::kNotSent;
+  if (failure && reused_ && written_ == 0) {
+    reused_ = false;
+    socket_ = socket(socket_.get_executor());
+    return Connect();
+  }
+  if (failure)
+    return Fail(errc::kUnavailable, "send: " + failure.message());
+  if (!serializer_.is_done())
+    return WriteSome();
+  ReadHeader();
+}
+
+void http_call::ReadHeader() {
+  parser_.emplace();
+  parser_->header_limit(kMaxHeaderBytes);
+  parser_->body_limit(client_->options.max_response_bytes);
+  http::async_read_header(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](const error_code& failure, std::size_t) {
+        self->OnHeader(failure);
+      });
+}
+
+void http_call::OnHeader(const error_code& failure) {
+  if (!done_)
+    return;
+  if (failure)
+    return Fail(ToErrc(failure), "receive: " + failure.message());
+  if (parser_->get().result_int() < kFirstFinalStatus)
+    return ReadHeader();
+  // A body that only the end of the connection delimits can't be told from a
+  // truncated one.
+  if (parser_->need_eof())
+    return Fail(errc::kParseFailed, "receive: response without a length");
+  http::async_read(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        self->OnResponse(error);
+      });
+}
+
+void http_call::OnResponse(const error_code& failure) {
+  if (!done_)
+    return;
+  if (failure)
+    return Fail(ToErrc(failure), "receive: " + failure.message());
+  Succeed();
+}
+
+void http_call::Fail(std::error_code code, std::string_view reason) {
+  if (!done_)
+    return;
+  error_code ignored;
+  socket_.close(ignored);
+  http_reply reply;
+  reply.failure = {MakeError(code, address_text_ + ": " + std::string(reason)),
+                   stage_};
+  Finish(std::move(reply));
+}
+
+void http_call::Succeed() {
+  const bool reusable = parser_->get().keep_alive() && message_.keep_alive() &&
+                        buffer_.size() == 0 && !client_->stopping;
+  http_reply reply;
+  reply.ok = true;
+  reply.response = FromBeast(parser_->release());
+  if (reusable)
+    client_->pool.Put(address_text_, std::move(socket_));
+  Finish(std::move(reply));
+}
+
+void http_call::Finish(http_reply reply) {
+  total_timer_.Stop();
+  connect_timer_.Stop();
+  const auto done = std::exchange(done_, nullptr);
+  done(std::move(reply));
+}
+
+}  // namespace egretrack::net
--- /dev/null
+++ b/src/net/http_client.cc
@@ -0,0 +1,68 @@
+#include <future>
+#include <utility>
+#include <vector>
+
+#include "egretrack/net/http.h"
+#include "net/http_call.h"
+
+namespace egretrack::net {
+namespace {
+
+class http_client_impl final : public http_client {
+ public:
+  explicit http_client_impl(const client_options& options)
+      : state_(std::make_shared<http_client_state>(options)) {}
+  http_client_impl(const http_client_impl&) = delete;
+  http_client_impl& operator=(const http_client_impl&) = delete;
+
+  ~http_client_impl() override {
+    state_->stopping = true;
+    AbortCalls();
+    state_->io.Finish();
+  }
+
+  void Call(const tcp_address& address,
+            http_request request,
+            milliseconds timeout,
+            callback done) override {
+    const auto call = std::make_shared<http_call>(
+        state_, address, std::move(request), timeout, std::move(done));
+    call->Start();
+  }
+
+ private:
+  // A call that is being created can't be locked; it sees `stopping` when it
+  // begins.
+  void AbortCalls() {
+    std::vector<std::shared_ptr<http_call>> calls;
+    {
+      const std::lock_guard lock(state_->mutex);
+      for (http_call* const call : state_->calls) {
+        if (auto held = call->weak_from_this().lock())
+          calls.push_back(std::move(held));
+      }
+    }
+    for (const auto& call : calls)
+      call->Abort();
+  }
+
+  const std::shared_ptr<http_client_state> state_;
+};
+
+}  // namespace
+
+std::unique_ptr<http_client> http_client::Create(client_options options) {
+  return std::make_unique<http_client_impl>(options);
+}
+
+http_reply http_client::CallAndWait(const tcp_address& address,
+                                    http_request request,
+                                    milliseconds timeout) {
+  std::promise<http_reply> replied;
+  std::future<http_reply> reply = replied.get_future();
+  Call(address, std::move(request), timeout,
+       [&replied](http_reply got) { replied.set_value(std::move(got)); });
+  return reply.get();
+}
+
+}  // namespace egretrack::net
--- /dev/null
+++ b/src/net/http_session.cc
@@ -0,0 +1,433 @@
+#include "net/http_session.h"
+
+#include <exception>
+#include <string>
+#include <utility>
+
+#include <boost/asio/dispatch.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+namespace egretrack::net {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+constexpr std::size_t kReadBytes = 4096;
+// A read that is between two steps can't be cancelled, so it is tried again.
+constexpr milliseconds kCancelAgain{50};
+// How long input is discarded after the last response. Closing with unread
+// input would reset the connection and could destroy the response.
+constexpr milliseconds kLingerTime{1000};
+
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+http_response MakeRefusal(unsigned status,
+                          std::string_view code,
+                          std::string_view message) {
+  std::string body = R"({"error":")";
+  body.append(code).append(R"(","message":")").append(message).append("\"}");
+  return {status, {{"Content-Type", "application/json"}}, std::move(body)};
+}
+
+// The one request of a session that waits for its response.
+class session_exchange final : public http_exchange {
+ public:
+  session_exchange(std::shared_ptr<http_session> session,
+                   std::uint64_t number,
+                   http_request request)
+      : session_(std::move(session)),
+        number_(number),
+        request_(std::move(request)) {}
+  session_exchange(const session_exchange&) = delete;
+  session_exchange& operator=(const session_exchange&) = delete;
+
+  ~session_exchange() override {
+    if (!responded_.exchange(true)) {
+      session_->Respond(number_, MakeRefusal(500, "internal_error",
+                                             "the request was dropped"));
+    }
+  }
+
+  const http_request& request() const override { return request_; }
+
+  void Inform(unsigned status, std::vector<header> headers) override {
+    session_->Inform(number_, {status, std::move(headers), {}});
+  }
+
+  void Respond(http_response response) override {
+    if (!responded_.exchange(true))
+      session_->Respond(number_, std::move(response));
+  }
+
+  void OnClosed(std::function<void()> callback) override {
+    session_->OnClosed(number_, std::move(callback));
+  }
+
+ private:
+  const std::shared_ptr<http_session> session_;
+  const std::uint64_t number_;
+  const http_request request_;
+  std::atomic<bool> responded_ = false;
+};
+
+}  // namespace
+
+http_session::http_session(std::shared_ptr<http_server_state> server,
+                           socket connection)
+    : server_(std::move(server)),
+      socket_(std::move(connection)),
+      timer_(socket_.get_executor()) {
+  const std::lock_guard lock(server_->mutex);
+  server_->sessions.insert(this);
+}
+
+http_session::~http_session() {
+  EndRequest();
+  EndServing();
+  const std::lock_guard lock(server_->mutex);
+  server_->sessions.erase(this);
+}
+
+template <typename Action>
+void http_session::OnStrand(Action action) {
+  if (!server_->io.running())
+    return;
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this(), action = std::move(action)]() mutable {
+               if (self->phase_ != phase::kClosed)
+                 action(*self);
+             });
+}
+
+void http_session::Start() {
+  serving_ = true;
+  ++server_->serving;
+  OnStrand([](http_session& self) {
+    error_code ignored;
+    self.socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    self.ReadRequest();
+  });
+}
+
+void http_session::Reject() {
+  OnStrand([](http_session& self) {
+    self.RefuseRequest(503, "too_many_connections",
+                       "this process has no connection left");
+  });
+}
+
+void http_session::Drain() {
+  OnStrand([](http_session& self) {
+    error_code ignored;
+    const bool untouched = self.phase_ == phase::kIdle &&
+                           self.buffer_.size() == 0 &&
+                           self.socket_.available(ignored) == 0;
+    if (untouched)
+      self.Close();
+  });
+}
+
+void http_session::Abort() {
+  // Not by OnStrand(): it must run when the threads are about to finish.
+  asio::post(socket_.get_executor(),
+             [self = shared_from_this()] { self->Close(); });
+}
+
+// ---- Receiving ------------------------------------------------------------
+
+void http_session::ReadRequest() {
+  if (server_->stopping)
+    return Close();
+  parser_.emplace();
+  parser_->header_limit(server_->limits.header_bytes);
+  parser_->body_limit(server_->limits.body_bytes);
+  timed_out_ = false;
+  if (buffer_.size() > 0)
+    return ReadHeader();
+  phase_ = phase::kIdle;
+  timer_.Start(server_->limits.idle_timeout,
+               [self = shared_from_this()] { self->Close(); });
+  if (!reading_some_)
+    ReadSome();
+}
+
+// Serves the idle, waiting and lingering phases: a read that began while a
+// request waited goes on as the idle read for the next request.
+void http_session::ReadSome() {
+  reading_some_ = true;
+  socket_.async_read_some(
+      buffer_.prepare(kReadBytes),
+      [self = shared_from_this()](const error_code& failure, std::size_t size) {
+        self->OnSome(failure, size);
+      });
+}
+
+void http_session::OnSome(const error_code& failure, std::size_t size) {
+  reading_some_ = false;
+  buffer_.commit(size);
+  switch (phase_) {
+    case phase::kIdle:
+      return failure ? Close() : ReadHeader();
+    case phase::kWaiting:
+    case phase::kResponding:
+      return OnInputWhileWaiting(failure);
+    case phase::kLingering:
+      buffer_.clear();
+      return failure ? Close() : ReadSome();
+    case phase::kReceiving:
+    case phase::kClosed:
+      return;
+  }
+}
+
+void http_session::OnInputWhileWaiting(const error_code& failure) {
+  if (failure) {
+    // The peer may have closed only its sending side, so a response is still
+    // tried.
+    peer_closed_ = true;
+    NotifyClosed();
+  }
+  // Input is the begin of a pipelined request. It stays in the buffer, and the
+  // connection is not watched further, so that it is read by one at a time.
+}
+
+void http_session::ReadHeader() {
+  phase_ = phase::kReceiving;
+  timer_.Start(server_->limits.receive_timeout,
+               [self = shared_from_this()] { self->OnReceiveTimeout(); });
+  http::async_read_header(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](const error_code& failure, std::size_t) {
+        self->OnHeader(failure);
+      });
+}
+
+void http_session::OnReceiveTimeout() {
+  timed_out_ = true;
+  socket_.cancel();
+  timer_.Start(kCancelAgain,
+               [self = shared_from_this()] { self->OnReceiveTimeout(); });
+}
+
+void http_session::OnHeader(const error_code& failure) {
+  if (phase_ == phase::kClosed)
+    return;
+  if (failure)
+    return OnReceiveFailure(failure);
+  const auto& message = parser_->get();
+  const bool expects_continue =
+      message.version() >= 11 &&
+      boost::beast::iequals(message[http::field::expect], "100-continue");
+  if (!expects_continue)
+    return ReadBody();
+  asio::async_write(
+      socket_, asio::buffer(kContinue),
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        return error ? self->Close() : self->ReadBody();
+      });
+}
+
+void http_session::ReadBody() {
+  if (phase_ == phase::kClosed)
+    return;
+  http::async_read(
+      socket_, buffer_, *parser_,
+      [self = shared_from_this()](const error_code& failure, std::size_t) {
+        self->OnRequest(failure);
+      });
+}
+
+void http_session::OnRequest(const error_code& failure) {
+  if (phase_ == phase::kClosed)
+    return;
+  if (failure)
+    return OnReceiveFailure(failure);
+  timer_.Stop();
+  HandOver();
+}
+
+void http_session::OnReceiveFailure(const error_code& failure) {
+  if (timed_out_)
+    return RefuseRequest(408, "request_timeout",
+                         "the request was not sent in time");
+  if (failure == http::error::body_limit)
+    return RefuseRequest(413, "body_too_large",
+                         "the body of the request is too large");
+  if (failure == http::error::header_limit)
+    return RefuseRequest(431, "header_too_large",
+                         "the header of the request is too large");
+  if (failure == http::error::end_of_stream)
+    return Close();
+  if (failure.category() == make_error_code(http::error::bad_method).category())
+    return RefuseRequest(400, "malformed_request",
+                         "the request is not valid HTTP");
+  Close();
+}
+
+void http_session::HandOver() {
+  beast_request message = parser_->release();
+  keep_alive_ = message.keep_alive();
+  form_ = {.version = message.version(),
+           .keep_alive = keep_alive_,
+           .without_body = message.method() == http::verb::head};
+  phase_ = phase::kWaiting;
+  ++request_number_;
+  request_open_ = true;
+  ++server_->open_requests;
+  if (buffer_.size() == 0)
+    ReadSome();
+  const auto exchange = std::make_shared<session_exchange>(
+      shared_from_this(), request_number_, FromBeast(std::move(message)));
+  try {
+    server_->on_request(exchange);
+  } catch (const std::exception&) {
+    exchange->Respond(
+        MakeRefusal(500, "internal_error", "the request could not be handled"));
+  }
+}
+
+// ---- Responding -----------------------------------------------------------
+
+void http_session::Respond(std::uint64_t number, http_response response) {
+  OnStrand(
+      [number, response = std::move(response)](http_session& self) mutable {
+        if (self.request_number_ == number && self.phase_ == phase::kWaiting)
+          self.SendFinal(std::move(response));
+      });
+}
+
+void http_session::Inform(std::uint64_t number, http_response response) {
+  OnStrand(
+      [number, response = std::move(response)](http_session& self) mutable {
+        const bool wanted = self.request_number_ == number &&
+                            self.phase_ == phase::kWaiting &&
+                            self.form_.version >= 11;
+        if (wanted)
+          self.Enqueue(std::move(response));
+      });
+}
+
+void http_session::OnClosed(std::uint64_t number,
+                            std::function<void()> callback) {
+  OnStrand(
+      [number, callback = std::move(callback)](http_session& self) mutable {
+        if (self.request_number_ != number || self.phase_ != phase::kWaiting)
+          return;
+        if (self.peer_closed_)
+          return callback();
+        self.on_closed_ = std::move(callback);
+      });
+}
+
+void http_session::SendFinal(http_response response) {
+  on_closed_ = nullptr;
+  phase_ = phase::kResponding;
+  if (server_->draining)
+    keep_alive_ = false;
+  form_.keep_alive = keep_alive_;
+  Enqueue(std::move(response));
+}
+
+void http_session::RefuseRequest(unsigned status,
+                                 std::string_view code,
+                                 std::string_view message) {
+  keep_alive_ = false;
+  form_ = {};
+  SendFinal(MakeRefusal(status, code, message));
+}
+
+void http_session::Enqueue(http_response response) {
+  outgoing_.push_back(std::move(response));
+  if (!message_)
+    WriteNext();
+}
+
+void http_session::WriteNext() {
+  message_.emplace(ToBeast(std::move(outgoing_.front()), form_));
+  outgoing_.pop_front();
+  serializer_.emplace(*message_);
+  WriteSome();
+}
+
+void http_session::WriteSome() {
+  timer_.Start(server_->limits.send_timeout,
+               [self = shared_from_this()] { self->Close(); });
+  http::async_write_some(
+      socket_, *serializer_,
+      [self = shared_from_this()](const error_code& failure, std::size_t) {
+        self->OnWritten(failure);
+      });
+}
+
+void http_session::OnWritten(const error_code& failure) {
+  if (phase_ == phase::kClosed)
+    return;
+  if (failure)
+    return Close();
+  if (!serializer_->is_done())
+    return WriteSome();
+  timer_.Stop();
+  serializer_.reset();
+  message_.reset();
+  if (!outgoing_.empty())
+    return WriteNext();
+  if (phase_ == phase::kResponding)
+    OnResponseSent();
+}
+
+void http_session::OnResponseSent() {
+  EndRequest();
+  if (!keep_alive_ || peer_closed_ || server_->draining)
+    return Linger();
+  ReadRequest();
+}
+
+// ---- Ending ---------------------------------------------------------------
+
+void http_session::Linger() {
+  phase_ = phase::kLingering;
+  error_code failure;
+  socket_.shutdown(socket::shutdown_send, failure);
+  if (failure || peer_closed_)
+    return Close();
+  timer_.Start(kLingerTime, [self = shared_from_this()] { self->Close(); });
+  if (reading_some_)
+    return;
+  buffer_.clear();
+  ReadSome();
+}
+
+void http_session::Close() {
+  if (phase_ == phase::kClosed)
+    return;
+  phase_ = phase::kClosed;
+  timer_.Stop();
+  error_code ignored;
+  socket_.close(ignored);
+  NotifyClosed();
+  EndRequest();
+  EndServing();
+}
+
+void http_session::NotifyClosed() {
+  const auto callback = std::exchange(on_closed_, nullptr);
+  if (callback)
+    callback();
+}
+
+void http_session::EndRequest() {
+  if (std::exchange(request_open_, false))
+    --server_->open_requests;
+}
+
+void http_session::EndServing() {
+  if (std::exchange(serving_, false))
+    --server_->serving;
+}
+
+}  // namespace egretrack::net
--- /dev/null
+++ b/src/net/tests/http_test.cc
@@ -0,0 +1,448 @@
+#include "egretrack/net/http.h"
+
+#include <atomic>
+#include <functional>
+#include <future>
+#include <mutex>
+#include <ostream>
+#include <thread>
+
+#include <gtest/gtest.h>
+
+#include "net/tests/raw_peer.h"
+
+namespace egretrack::net {
+namespace {
+
+constexpr milliseconds kCallTimeout{5000};
+constexpr seconds kPatience{10};
+
+bool Contains(std::string_view text, std::string_view part) {
+  return text.find(part) != std::string_view::npos;
+}
+
+// Waits for a condition that another thread brings about.
+bool Eventually(const std::function<bool()>& condition) {
+  const auto deadline = monotonic_clock::now() + kPatience;
+  while (!condition()) {
+    if (monotonic_clock::now() > deadline)
+      return false;
+    std::this_thread::sleep_for(milliseconds(2));
+  }
+  return true;
+}
+
+std::unique_ptr<http_server> Serve(http_limits limits,
+                                   http_server::handler handler) {
+  return *http_server::Listen({"127.0.0.1", 0}, 2, limits, std::move(handler));
+}
+
+void Echo(const http_exchange_ptr& exchange) {
+  exchange->Respond({200, {}, exchange->request().body});
+}
+
+// Holds the exchanges it gets until the test answers them.
+class held_exchanges {
+ public:
+  http_server::handler AsHandler() {
+    return [this](http_exchange_ptr exchange) {
+      const std::lock_guard lock(mutex_);
+      held_.push_back(std::move(exchange));
+    };
+  }
+
+  http_exchange_ptr Wait() {
+    Eventually([this] {
+      const std::lock_guard lock(mutex_);
+      return !held_.empty();
+    });
+    const std::lock_guard lock(mutex_);
+    auto exchange = std::move(held_.front());
+    held_.erase(held_.begin());
+    return exchange;
+  }
+
+ private:
+  std::mutex mutex_;
+  std::vector<http_exchange_ptr> held_;
+};
+
+http_reply CallOnce(const tcp_address& address, http_request request) {
+  return http_client::Create({})->CallAndWait(address, std::move(request),
+                                              kCallTimeout);
+}
+
+const http_request kGet{"GET", "/", {}, {}};
+
+// ---- Messages -------------------------------------------------------------
+
+// Guards against hosts that would need a look-up, and cut addresses.
+TEST(TcpAddress, ParsesNumbersOnly) {
+  EXPECT_EQ(tcp_address::Parse("127.0.0.1:80")->port, 80);
+  EXPECT_EQ(tcp_address::Parse("[::1]:80")->host, "::1");
+  EXPECT_EQ(tcp_address::Parse("[::1]:80")->ToString(), "[::1]:80");
+  for (const auto* text :
+       {"", "127.0.0.1", "127.0.0.1:", "host:80", "::1:80", "127.0.0.1:70000",
+        "127.0.0.1:8x", "[127.0.0.1]:80"}) {
+    EXPECT_FALSE(tcp_address::Parse(text)) << text;
+  }
+}
+
+// Guards against a parameter that is found inside another's name or value.
+TEST(HttpRequest, QueryFindsWholeNames) {
+  const http_request request{"GET", "/a?xbase=1&base=a%20b&id=base", {}, {}};
+  EXPECT_EQ(request.path(), "/a");
+  EXPECT_EQ(request.Query("base"), "a b");
+  EXPECT_EQ(request.Query("id"), "base");
+  EXPECT_EQ(request.Query("a"), "");
+}
+
+// ---- Server ---------------------------------------------------------------
+
+// Guards against responses whose end the caller can't see.
+TEST(HttpServer, AnswersWithLengthAndKeepsConnection) {
+  const auto server = Serve({}, Echo);
+  raw_client caller(server->local_address());
+  for (const std::string body : {"one", "two"}) {
+    caller.Send("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\n" + body);
+    const std::string answer = caller.ReadUntil(body);
+    EXPECT_TRUE(Contains(answer, "200 OK"));
+    EXPECT_TRUE(Contains(answer, "Content-Length: 3\r\n"));
+  }
+}
+
+// Guards against a second pipelined request that is lost or answered first.
+TEST(HttpServer, AnswersPipelinedRequestsInOrder) {
+  const auto server = Serve({}, Echo);
+  raw_client caller(server->local_address());
+  caller.Send(
+      "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\none"
+      "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\ntwo");
+  EXPECT_TRUE(Contains(caller.ReadUntil("one"), "200"));
+  EXPECT_TRUE(Contains(caller.ReadUntil("two"), "200"));
+}
+
+struct refused_input {
+  const char* name;
+  std::string bytes;
+  const char* status;
+  const char* code;
+};
+
+void PrintTo(const refused_input& input, std::ostream* out) {
+  *out << input.name;
+}
+
+class HttpServerRefusal : public testing::TestWithParam<refused_input> {};
+
+// Guards against bad input that reaches the handler or is answered untyped.
+TEST_P(HttpServerRefusal, IsTyped) {
+  http_limits limits;
+  limits.body_bytes = 16;
+  limits.header_bytes = 256;
+  limits.receive_timeout = seconds(1);
+  const auto server = Serve(limits, [](const http_exchange_ptr&) {
+    ADD_FAILURE() << "the handler was called";
+  });
+  raw_client caller(server->local_address());
+  caller.Send(GetParam().bytes);
+  const std::string answer = caller.ReadAll();
+  EXPECT_TRUE(Contains(answer, GetParam().status)) << answer;
+  EXPECT_TRUE(Contains(answer, std::string(R"({"error":")") + GetParam().code +
+                                   R"(","message":")"))
+      << answer;
+  EXPECT_TRUE(Contains(answer, "Connection: close")) << answer;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Inputs,
+    HttpServerRefusal,
+    testing::Values(
+        refused_input{"Malformed", "what is this\r\n\r\n", " 400 ",
+                      "malformed_request"},
+        refused_input{"DeclaredTooLarge",
+                      "POST / HTTP/1.1\r\nContent-Length: 17\r\n\r\n", " 413 ",
+                      "body_too_large"},
+        refused_input{"ChunkedTooLarge",
+                      "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                      "11\r\n12345678901234567\r\n",
+                      " 413 ", "body_too_large"},
+        refused_input{"HeaderTooLarge",
+                      "GET / HTTP/1.1\r\nA: " + std::string(300, 'a'), " 431 ",
+                      "header_too_large"},
+        refused_input{"SlowHeader", "GET / HT", " 408 ", "request_timeout"},
+        refused_input{"SlowBody",
+                      "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n1", " 408 ",
+                      "request_timeout"}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against a sender that keeps a connection by one byte now and then.
+TEST(HttpServer, BoundsWholeRequestOfTricklingSender) {
+  http_limits limits;
+  limits.receive_timeout = seconds(1);
+  const auto server = Serve(limits, Echo);
+  raw_client caller(server->local_address());
+  std::atomic<bool> answered = false;
+  std::thread sender([&] {
+    while (!answered) {
+      caller.Send("G");
+      std::this_thread::sleep_for(milliseconds(5));
+    }
+  });
+  const std::string answer = caller.ReadUntil("\r\n\r\n");
+  answered = true;
+  sender.join();
+  EXPECT_TRUE(Contains(answer, " 408 ")) << answer;
+}
+
+// Guards against idle connections that are kept for ever.
+TEST(HttpServer, ClosesIdleConnection) {
+  http_limits limits;
+  limits.idle_timeout = seconds(1);
+  const auto server = Serve(limits, Echo);
+  raw_client caller(server->local_address());
+  EXPECT_EQ(caller.ReadAll(), "");
+}
+
+// Guards against more connections than the limit, and against a limit that a
+// closed connection still counts for.
+TEST(HttpServer, LimitsConnections) {
+  http_limits limits;
+  limits.connections = 1;
+  const auto server = Serve(limits, Echo);
+  raw_client first(server->local_address());
+  first.Send("GET / HTTP/1.1\r\n\r\n");
+  first.ReadUntil("\r\n\r\n");
+  raw_client second(server->local_address());
+  EXPECT_TRUE(Contains(second.ReadAll(), "too_many_connections"));
+  first.Close();
+  EXPECT_TRUE(Eventually([&] {
+    const auto reply = CallOnce(server->local_address(), kGet);
+    return reply.ok && reply.response.status == 200;
+  }));
+}
+
+// Guards against a caller that reads nothing and so holds its response.
+TEST(HttpServer, DropsReaderThatTakesNothing) {
+  constexpr std::size_t kMoreThanSocketBuffers = 64U << 20U;
+  http_limits limits;
+  limits.send_timeout = seconds(1);
+  std::atomic<int> requests = 0;
+  const auto server = Serve(limits, [&](const http_exchange_ptr& exchange) {
+    ++requests;
+    exchange->Respond({200, {}, std::string(kMoreThanSocketBuffers, 'x')});
+  });
+  raw_client caller(server->local_address());
+  caller.Send("GET / HTTP/1.1\r\n\r\n");
+  EXPECT_TRUE(Eventually([&] { return requests == 1; }));
+  EXPECT_FALSE(server->idle());
+  EXPECT_TRUE(Eventually([&] { return server->idle(); }));
+}
+
+// Guards against work for callers that have gone.
+TEST(HttpServer, ReportsCallerThatClosesWhileItWaits) {
+  held_exchanges held;
+  const auto server = Serve({}, held.AsHandler());
+  raw_client caller(server->local_address());
+  caller.Send("GET / HTTP/1.1\r\n\r\n");
+  const auto exchange = held.Wait();
+  std::promise<void> closed;
+  exchange->OnClosed([&] { closed.set_value(); });
+  caller.Close();
+  EXPECT_EQ(closed.get_future().wait_for(kPatience), std::future_status::ready);
+}
+
+// Guards against an id that reaches the caller only with the answer.
+TEST(HttpServer, SendsInformationBeforeResponse) {
+  held_exchanges held;
+  const auto server = Serve({}, held.AsHandler());
+  raw_client caller(server->local_address());
+  caller.Send("POST / HTTP/1.1\r\nContent-Length: 0\r\n\r\n");
+  const auto exchange = held.Wait();
+  exchange->Inform(102, {{"Egretrack-Job-Id", "a"}});
+  const std::string first = caller.ReadUntil("\r\n\r\n");
+  EXPECT_TRUE(Contains(first, "HTTP/1.1 102 Processing")) << first;
+  EXPECT_TRUE(Contains(first, "Egretrack-Job-Id: a")) << first;
+  EXPECT_FALSE(Contains(first, "Content-Length")) << first;
+  exchange->Respond({200, {}, "done"});
+  EXPECT_TRUE(Contains(caller.ReadUntil("done"), "HTTP/1.1 200 OK"));
+}
+
+// Guards against a caller that waits for leave to send its body.
+TEST(HttpServer, AnswersExpectContinue) {
+  const auto server = Serve({}, Echo);
+  raw_client caller(server->local_address());
+  caller.Send(
+      "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n");
+  EXPECT_TRUE(Contains(caller.ReadUntil("\r\n\r\n"), "100 Continue"));
+  caller.Send("one");
+  EXPECT_TRUE(Contains(caller.ReadUntil("one"), "200 OK"));
+}
+
+// Guards against a caller that waits for ever for a dropped request, and
+// against a second response on the connection.
+TEST(HttpServer, RespondsOnceEvenWhenDropped) {
+  const auto dropping = Serve({}, [](const http_exchange_ptr&) {});
+  EXPECT_EQ(CallOnce(dropping->local_address(), kGet).response.status, 500U);
+  const auto twice = Serve({}, [](const http_exchange_ptr& exchange) {
+    exchange->Respond({201, {}, {}});
+    exchange->Respond({202, {}, {}});
+  });
+  raw_client caller(twice->local_address());
+  caller.Send("GET / HTTP/1.1\r\nConnection: close\r\n\r\n");
+  const std::string answer = caller.ReadAll();
+  EXPECT_TRUE(Contains(answer, "201")) << answer;
+  EXPECT_FALSE(Contains(answer, "202")) << answer;
+}
+
+// Guards against a drain that cuts a request off or takes new connections.
+TEST(HttpServer, DrainAnswersOpenRequestsOnly) {
+  held_exchanges held;
+  const auto server = Serve({}, held.AsHandler());
+  raw_client idle(server->local_address());
+  raw_client waiting(server->local_address());
+  waiting.Send("GET / HTTP/1.1\r\n\r\n");
+  const auto exchange = held.Wait();
+  server->Drain();
+  EXPECT_EQ(idle.ReadAll(), "");
+  EXPECT_TRUE(Eventually([&] {
+    const auto reply = CallOnce(server->local_address(), kGet);
+    return !reply.ok && reply.failure.stage == call_stage::kNotSent;
+  }));
+  EXPECT_FALSE(server->idle());
+  exchange->Respond({200, {}, "whole"});
+  const std::string answer = waiting.ReadAll();
+  EXPECT_TRUE(Contains(answer, "Connection: close")) << answer;
+  EXPECT_TRUE(Contains(answer, "whole")) << answer;
+  EXPECT_TRUE(Eventually([&] { return server->idle(); }));
+}
+
+// Guards against a stop that waits for open connections, and against an
+// exchange that outlives its server.
+TEST(HttpServer, StopsWithOpenRequest) {
+  held_exchanges held;
+  auto server = Serve({}, held.AsHandler());
+  raw_client caller(server->local_address());
+  caller.Send("GET / HTTP/1.1\r\n\r\n");
+  const auto exchange = held.Wait();
+  server.reset();
+  exchange->Respond({200, {}, {}});
+  EXPECT_EQ(caller.ReadAll(), "");
+}
+
+// ---- Client ---------------------------------------------------------------
+
+// Guards against a claim that a request was sent when none could be.
+TEST(HttpClient, RefusedConnectionIsNotSent) {
+  auto server = Serve({}, Echo);
+  const tcp_address address = server->local_address();
+  server.reset();
+  const auto reply = CallOnce(address, kGet);
+  EXPECT_FALSE(reply.ok);
+  EXPECT_EQ(reply.failure.stage, call_stage::kNotSent);
+  EXPECT_EQ(reply.failure.cause.code, errc::kUnavailable);
+}
+
+struct bad_response {
+  const char* name;
+  std::string bytes;
+};
+
+void PrintTo(const bad_response& input, std::ostream* out) {
+  *out << input.name;
+}
+
+class HttpClientFailure : public testing::TestWithParam<bad_response> {};
+
+// Guards against a response that is not whole but is taken as a reply.
+TEST_P(HttpClientFailure, IsSentAndNoReply) {
+  const raw_server server(GetParam().bytes, 1);
+  const auto reply = CallOnce(server.address(), kGet);
+  EXPECT_FALSE(reply.ok);
+  EXPECT_EQ(reply.failure.stage, call_stage::kSent);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Responses,
+    HttpClientFailure,
+    testing::Values(
+        bad_response{"None", ""},
+        bad_response{"Foreign", "SSH-2.0\r\n\r\n"},
+        bad_response{"CutHeader", "HTTP/1.1 200 OK\r\nContent-"},
+        bad_response{"CutBody",
+                     "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n12345678"},
+        bad_response{"CutChunks",
+                     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+                     "4\r\nabcd\r\n"},
+        bad_response{"NoLength", "HTTP/1.1 200 OK\r\n\r\nabcd"},
+        bad_response{"TooLarge",
+                     "HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n"}),
+    [](const auto& info) { return info.param.name; });
+
+// Guards against an informational response that is taken for the reply.
+TEST(HttpClient, SkipsInformationalResponses) {
+  const raw_server server(
+      "HTTP/1.1 102 Processing\r\nA: b\r\n\r\n"
+      "HTTP/1.1 204 No Content\r\n\r\n",
+      1);
+  const auto reply = CallOnce(server.address(), kGet);
+  ASSERT_TRUE(reply.ok) << reply.failure.cause.ToString();
+  EXPECT_EQ(reply.response.status, 204U);
+}
+
+// Guards against a call that waits longer than it was told to.
+TEST(HttpClient, TimesOutAsSent) {
+  held_exchanges held;
+  const auto server = Serve({}, held.AsHandler());
+  const auto reply = http_client::Create({})->CallAndWait(
+      server->local_address(), kGet, milliseconds(50));
+  EXPECT_FALSE(reply.ok);
+  EXPECT_EQ(reply.failure.cause.code, errc::kTimeout);
+  EXPECT_EQ(reply.failure.stage, call_stage::kSent);
+}
+
+// Guards against a pooled connection, closed by the server meanwhile, that
+// fails a request which was never written.
+TEST(HttpClient, ReplacesClosedPooledConnection) {
+  http_limits limits;
+  limits.idle_timeout = seconds(1);
+  const auto server = Serve(limits, Echo);
+  const auto client = http_client::Create({});
+  ASSERT_TRUE(
+      client->CallAndWait(server->local_address(), kGet, kCallTimeout).ok);
+  raw_client witness(server->local_address());
+  witness.ReadAll();  // Ends when idle connections are closed.
+  std::this_thread::sleep_for(milliseconds(20));
+  EXPECT_TRUE(
+      client->CallAndWait(server->local_address(), kGet, kCallTimeout).ok);
+}
+
+// Guards against a new connection for every call.
+TEST(HttpClient, ReusesConnection) {
+  http_limits limits;
+  limits.connections = 1;
+  const auto server = Serve(limits, Echo);
+  const auto client = http_client::Create({});
+  for (int i = 0; i < 3; ++i) {
+    const auto reply = client->CallAndWait(
+        server->local_address(), {"POST", "/", {}, "body"}, kCallTimeout);
+    EXPECT_EQ(reply.response.status, 200U);
+    EXPECT_EQ(reply.response.body, "body");
+  }
+}
+
+// Guards against a waiting caller that hears nothing when the client ends.
+TEST(HttpClient, EndFailsOpenCalls) {
+  held_exchanges held;
+  const auto server = Serve({}, held.AsHandler());
+  auto client = http_client::Create({});
+  std::promise<http_reply> replied;
+  client->Call(server->local_address(), kGet, milliseconds(0),
+               [&](http_reply reply) { replied.set_value(std::move(reply)); });
+  const auto exchange = held.Wait();
+  client.reset();
+  EXPECT_FALSE(replied.get_future().get().ok);
+}
+
+}  // namespace
+}  // namespace egretrack::net
--- /dev/null
+++ b/src/net/tests/raw_peer.h
@@ -0,0 +1,98 @@
+#ifndef EGRETRACK_NET_TESTS_RAW_PEER_H_
+#define EGRETRACK_NET_TESTS_RAW_PEER_H_
+
+#include <functional>
+#include <string>
+#include <string_view>
+#include <thread>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/write.hpp>
+
+#include "egretrack/net/http.h"
+
+// Blocking sockets that send and receive exactly what a test wants.
+namespace egretrack::net {
+
+class raw_client {
+ public:
+  explicit raw_client(const tcp_address& address) : socket_(context_) {
+    socket_.connect(
+        {boost::asio::ip::make_address(address.host), address.port});
+  }
+
+  void Send(std::string_view bytes) {
+    boost::system::error_code ignored;
+    boost::asio::write(socket_, boost::asio::buffer(bytes), ignored);
+  }
+
+  // All that comes until `mark`, or until the connection ends.
+  std::string ReadUntil(std::string_view mark) {
+    boost::system::error_code ended;
+    const std::size_t size = boost::asio::read_until(
+        socket_, boost::asio::dynamic_buffer(input_), std::string(mark), ended);
+    return Take(ended ? input_.size() : size);
+  }
+
+  std::string ReadAll() {
+    boost::system::error_code ended;
+    boost::asio::read(socket_, boost::asio::dynamic_buffer(input_), ended);
+    return Take(input_.size());
+  }
+
+  void Close() { socket_.close(); }
+
+ private:
+  std::string Take(std::size_t size) {
+    std::string taken = input_.substr(0, size);
+    input_.erase(0, size);
+    return taken;
+  }
+
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::socket socket_;
+  std::string input_;
+};
+
+// Accepts one connection after the other, reads a request header from each,
+// sends `response` and closes.
+class raw_server {
+ public:
+  raw_server(std::string response, int connections)
+      : acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        response_(std::move(response)),
+        thread_([this, connections] { Serve(connections); }) {}
+  ~raw_server() { thread_.join(); }
+  raw_server(const raw_server&) = delete;
+  raw_server& operator=(const raw_server&) = delete;
+
+  tcp_address address() const {
+    return {"127.0.0.1", acceptor_.local_endpoint().port()};
+  }
+
+ private:
+  void Serve(int connections) {
+    for (int i = 0; i < connections; ++i) {
+      boost::asio::ip::tcp::socket peer(context_);
+      acceptor_.accept(peer);
+      std::string request;
+      boost::system::error_code ignored;
+      boost::asio::read_until(peer, boost::asio::dynamic_buffer(request),
+                              "\r\n\r\n", ignored);
+      boost::asio::write(peer, boost::asio::buffer(response_), ignored);
+    }
+  }
+
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  const std::string response_;
+  std::thread thread_;
+};
+
+}  // namespace egretrack::net
+
+#endif  // EGRETRACK_NET_TESTS_RAW_PEER_H_
