net: let a handler close a connection without a response

The stand-in of the table service must lose responses and refuse service as a real one does; a dropped exchange answers 500 instead. Adds http_exchange::Abort() and says that an OnClosed callback must not hold its exchange.

--- a/src/include/egretrack/net/http.h
+++ b/src/include/egretrack/net/http.h
@@ -52,8 +52,10 @@
   virtual void Inform(unsigned status, std::vector<header> headers) = 0;
   // Sends the final response; only the first call counts.
   virtual void Respond(http_response response) = 0;
-  // Called once, on a traffic thread, if the caller closes its connection
-  // before the response is sent.
+  // Closes the connection without a response; counts as the response.
+  virtual void Abort() = 0;
+  // Called once, on a traffic thread, if the caller closes its connection, or
+  // its sending side, before the response is sent. Must not hold the exchange.
   virtual void OnClosed(std::function<void()> callback) = 0;
 };
 using http_exchange_ptr = std::shared_ptr<http_exchange>;
--- a/src/net/http_session.cc
+++ b/src/net/http_session.cc
@@ -64,6 +64,11 @@
       session_->Respond(number_, std::move(response));
   }
 
+  void Abort() override {
+    if (!responded_.exchange(true))
+      session_->AbortRequest(number_);
+  }
+
   void OnClosed(std::function<void()> callback) override {
     session_->OnClosed(number_, std::move(callback));
   }
@@ -312,6 +317,13 @@
       });
 }
 
+void http_session::AbortRequest(std::uint64_t number) {
+  OnStrand([number](http_session& self) {
+    if (self.request_number_ == number && self.phase_ == phase::kWaiting)
+      self.Close();
+  });
+}
+
 void http_session::OnClosed(std::uint64_t number,
                             std::function<void()> callback) {
   OnStrand(
--- a/src/net/tests/http_test.cc
+++ b/src/net/tests/http_test.cc
@@ -295,6 +295,15 @@
   EXPECT_FALSE(Contains(answer, "202")) << answer;
 }
 
+// Guards against stand-ins that can't lose a response.
+TEST(HttpServer, AbortClosesWithoutResponse) {
+  const auto server =
+      Serve({}, [](const http_exchange_ptr& exchange) { exchange->Abort(); });
+  raw_client caller(server->local_address());
+  caller.Send("GET / HTTP/1.1\r\n\r\n");
+  EXPECT_EQ(caller.ReadAll(), "");
+}
+
 // Guards against a drain that cuts a request off or takes new connections.
 TEST(HttpServer, DrainAnswersOpenRequestsOnly) {
   held_exchanges held;
