--- /dev/null
+++ b/src/standins/table_standin.cc
@@ -0,0 +1,58 @@
+#include <csignal>
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+#include <CLI/CLI.hpp>
+
+#include "standins/table_service.h"
+
+namespace egretrack::standins {
+namespace {
+
+constexpr int kExitOk = 0;
+constexpr int kExitListenFailed = 3;
+
+// By rename, so that a reader never sees a file without the whole number.
+bool WritePort(const std::string& path, std::uint16_t port) {
+  const std::string temporary = path + ".tmp";
+  std::ofstream(temporary) << port << "\n";
+  return std::rename(temporary.c_str(), path.c_str()) == 0;
+}
+
+int Main(int argc, char** argv) {
+  CLI::App app("Stand-in of the platform's table service, in memory");
+  std::string port_file;
+  std::uint16_t port = 0;
+  app.add_option("--port-file", port_file, "Writes the port in use here");
+  app.add_option("--port", port, "Port to listen at; 0 lets the system choose");
+  CLI11_PARSE(app, argc, argv);
+
+  // Blocked before any thread starts, so that only sigwait() sees them.
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+
+  const auto service = table_service::Listen({"127.0.0.1", port});
+  if (!service) {
+    std::fprintf(stderr, "%s\n", service.error().ToString().c_str());
+    return kExitListenFailed;
+  }
+  const std::uint16_t chosen = (*service)->local_address().port;
+  if (!port_file.empty() && !WritePort(port_file, chosen)) {
+    std::fprintf(stderr, "port file %s can't be written\n", port_file.c_str());
+    return kExitListenFailed;
+  }
+  int signal = 0;
+  sigwait(&signals, &signal);
+  return kExitOk;
+}
+
+}  // namespace
+}  // namespace egretrack::standins
+
+int main(int argc, char** argv) {
+  return egretrack::standins::Main(argc, argv);
+}
