Add logging, metrics and the burn meter

Cause: operators need to see what a process does, how long work takes and how fast a desk uses up its error budget.

Change: log4cplus behind a logger with a fixed prefix per part; messages are kept on one line.

Conclusion: entry and agent can log, count and report.

--- a/src/include/egretrack/telemetry/burn.h
+++ b/src/include/egretrack/telemetry/burn.h
@@ -7,6 +7,7 @@
 #include <string_view>
 #include <vector>
 
+#include "egretrack/base/result.h"
 #include "egretrack/base/time.h"
 
 // Service-level burn: how fast a desk uses up the errors that its objective
@@ -45,8 +46,12 @@
 
 std::string ToText(const burn_report& report);
 std::string ToJson(const burn_report& report);
+// A chart of the history, one line per desk.
 std::string ToSvg(const burn_report& report);
 
+// Reads what ToJson() wrote. Errors: errc::kParseFailed.
+result<burn_report> ParseBurnReport(std::string_view text);
+
 }  // namespace egretrack::telemetry
 
 #endif  // EGRETRACK_TELEMETRY_BURN_H_
--- /dev/null
+++ b/src/telemetry/log.cc
@@ -0,0 +1,119 @@
+#include "egretrack/telemetry/log.h"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <string>
+
+#include <log4cplus/consoleappender.h>
+#include <log4cplus/fileappender.h>
+#include <log4cplus/initializer.h>
+#include <log4cplus/layout.h>
+#include <log4cplus/logger.h>
+#include <log4cplus/loglevel.h>
+
+namespace egretrack::telemetry {
+namespace {
+
+// UTC with milliseconds, level, part: message.
+constexpr const char* kPattern = "%d{%Y-%m-%dT%H:%M:%S.%q}Z %-5p %c: %m%n";
+
+struct level_name {
+  std::string_view name;
+  log4cplus::LogLevel level;
+};
+constexpr std::array<level_name, 6> kLevels{{
+    {"trace", log4cplus::TRACE_LOG_LEVEL},
+    {"debug", log4cplus::DEBUG_LOG_LEVEL},
+    {"info", log4cplus::INFO_LOG_LEVEL},
+    {"warn", log4cplus::WARN_LOG_LEVEL},
+    {"error", log4cplus::ERROR_LOG_LEVEL},
+    {"off", log4cplus::OFF_LOG_LEVEL},
+}};
+
+// Owns log4cplus until the process ends. Nothing is written before
+// StartLogging(), and log4cplus does not complain about missing appenders.
+void Initialize() {
+  static const log4cplus::Initializer kLibrary;
+  static const bool kIsOff = [] {
+    log4cplus::Logger::getRoot().setLogLevel(log4cplus::OFF_LOG_LEVEL);
+    return true;
+  }();
+  static_cast<void>(kIsOff);
+}
+
+log4cplus::SharedAppenderPtr MakeAppender(const std::string& file) {
+  log4cplus::SharedAppenderPtr appender;
+  if (file.empty())
+    appender = new log4cplus::ConsoleAppender(true, true);
+  else
+    appender = new log4cplus::FileAppender(file, std::ios_base::app);
+  appender->setLayout(std::make_unique<log4cplus::PatternLayout>(kPattern));
+  return appender;
+}
+
+// Keeps a message on one line, so that no part of it looks like another one.
+std::string OneLine(std::string_view message) {
+  std::string line(message);
+  std::replace_if(
+      line.begin(), line.end(),
+      [](char c) { return static_cast<unsigned char>(c) < ' '; }, ' ');
+  return line;
+}
+
+}  // namespace
+
+result<void> StartLogging(std::string_view level, std::string_view file) {
+  const auto found =
+      std::find_if(kLevels.begin(), kLevels.end(),
+                   [&](const level_name& l) { return l.name == level; });
+  if (found == kLevels.end()) {
+    return MakeError(errc::kInvalidArgument,
+                     "log level '" + std::string(level) + "'");
+  }
+  const std::string path(file);
+  // log4cplus only prints a failure to open the file.
+  if (!path.empty() && !std::ofstream(path, std::ios_base::app).is_open())
+    return MakeError(errc::kSystem, "log file '" + path + "'");
+  Initialize();
+  log4cplus::Logger root = log4cplus::Logger::getRoot();
+  root.removeAllAppenders();
+  root.addAppender(MakeAppender(path));
+  root.setLogLevel(found->level);
+  return {};
+}
+
+struct logger::impl {
+  log4cplus::Logger target;
+
+  void Write(log4cplus::LogLevel level, std::string_view message) const {
+    if (target.isEnabledFor(level))
+      target.forcedLog(level, OneLine(message));
+  }
+};
+
+logger::logger(std::string_view part) {
+  Initialize();
+  impl_ = std::make_unique<impl>(
+      impl{log4cplus::Logger::getInstance(std::string(part))});
+}
+
+logger::~logger() = default;
+
+void logger::Debug(std::string_view message) const {
+  impl_->Write(log4cplus::DEBUG_LOG_LEVEL, message);
+}
+
+void logger::Info(std::string_view message) const {
+  impl_->Write(log4cplus::INFO_LOG_LEVEL, message);
+}
+
+void logger::Warn(std::string_view message) const {
+  impl_->Write(log4cplus::WARN_LOG_LEVEL, message);
+}
+
+void logger::Error(std::string_view message) const {
+  impl_->Write(log4cplus::ERROR_LOG_LEVEL, message);
+}
+
+}  // namespace egretrack::telemetry
--- /dev/null
+++ b/src/telemetry/metrics.cc
@@ -0,0 +1,158 @@
+#include "egretrack/telemetry/metrics.h"
+
+#include <array>
+#include <charconv>
+#include <functional>
+#include <map>
+
+#include "telemetry/summary.h"
+
+namespace egretrack::telemetry {
+namespace {
+
+template <typename Value>
+using by_labels = std::map<std::string, Value, std::less<>>;
+template <typename Value>
+using by_name = std::map<std::string, by_labels<Value>, std::less<>>;
+
+template <typename Value>
+Value& Cell(by_name<Value>& families,
+            std::string_view name,
+            std::string_view labels) {
+  auto family = families.find(name);
+  if (family == families.end())
+    family = families.emplace(name, by_labels<Value>()).first;
+  auto cell = family->second.find(labels);
+  if (cell == family->second.end())
+    cell = family->second.emplace(labels, Value()).first;
+  return cell->second;
+}
+
+std::string Format(double value) {
+  std::array<char, 32> digits{};
+  const auto [end, code] =
+      std::to_chars(digits.data(), digits.data() + digits.size(), value);
+  return {digits.data(), end};
+}
+
+std::string Format(std::uint64_t value) {
+  return std::to_string(value);
+}
+
+void AppendType(std::string& text,
+                std::string_view name,
+                std::string_view type) {
+  text.append("# TYPE ").append(name).append(" ").append(type).append("\n");
+}
+
+void AppendSample(std::string& text,
+                  std::string_view name,
+                  std::string_view labels,
+                  std::string_view value) {
+  text.append(name);
+  if (!labels.empty())
+    text.append("{").append(labels).append("}");
+  text.append(" ").append(value).append("\n");
+}
+
+template <typename Value>
+void AppendFamilies(std::string& text,
+                    const by_name<Value>& families,
+                    std::string_view type) {
+  for (const auto& [name, family] : families) {
+    AppendType(text, name, type);
+    for (const auto& [labels, value] : family)
+      AppendSample(text, name, labels, Format(value));
+  }
+}
+
+void AppendQuantile(std::string& text,
+                    std::string_view name,
+                    std::string_view labels,
+                    std::string_view probability,
+                    double value) {
+  std::string all(labels);
+  if (!all.empty())
+    all += ",";
+  all.append("quantile=\"").append(probability).append("\"");
+  AppendSample(text, name, all, Format(value));
+}
+
+// Mean and maximum are no part of a Prometheus summary; each is a gauge.
+struct extra_gauge {
+  std::string_view suffix;
+  double (summary::*value)() const;
+};
+constexpr std::array<extra_gauge, 2> kExtraGauges{{
+    {"_mean", &summary::mean},
+    {"_max", &summary::maximum},
+}};
+
+void AppendSummary(std::string& text,
+                   std::string_view name,
+                   std::string_view labels,
+                   const summary& values) {
+  const std::string base(name);
+  AppendQuantile(text, name, labels, "0.5", values.Quantile(quantile::kMedian));
+  AppendQuantile(text, name, labels, "0.99", values.Quantile(quantile::kP99));
+  AppendSample(text, base + "_sum", labels,
+               Format(values.mean() * static_cast<double>(values.count())));
+  AppendSample(text, base + "_count", labels,
+               Format(std::uint64_t{values.count()}));
+}
+
+void AppendSummaries(std::string& text, const by_name<summary>& families) {
+  for (const auto& [name, family] : families) {
+    AppendType(text, name, "summary");
+    for (const auto& [labels, values] : family)
+      AppendSummary(text, name, labels, values);
+    for (const extra_gauge& gauge : kExtraGauges) {
+      const std::string gauge_name = name + std::string(gauge.suffix);
+      AppendType(text, gauge_name, "gauge");
+      for (const auto& [labels, values] : family)
+        AppendSample(text, gauge_name, labels, Format((values.*gauge.value)()));
+    }
+  }
+}
+
+class process_metrics final : public metrics {
+ public:
+  void SetCounter(std::string_view name,
+                  std::string_view labels,
+                  std::uint64_t value) override {
+    Cell(counters_, name, labels) = value;
+  }
+
+  void SetGauge(std::string_view name,
+                std::string_view labels,
+                double value) override {
+    Cell(gauges_, name, labels) = value;
+  }
+
+  void Observe(std::string_view name,
+               std::string_view labels,
+               double value) override {
+    Cell(summaries_, name, labels).Add(value);
+  }
+
+  std::string ToText() const override {
+    std::string text;
+    AppendFamilies(text, counters_, "counter");
+    AppendFamilies(text, gauges_, "gauge");
+    AppendSummaries(text, summaries_);
+    return text;
+  }
+
+ private:
+  by_name<std::uint64_t> counters_;
+  by_name<double> gauges_;
+  by_name<summary> summaries_;
+};
+
+}  // namespace
+
+std::unique_ptr<metrics> metrics::Create() {
+  return std::make_unique<process_metrics>();
+}
+
+}  // namespace egretrack::telemetry
--- /dev/null
+++ b/src/telemetry/tests/burn_test.cc
@@ -0,0 +1,95 @@
+#include "egretrack/telemetry/burn.h"
+
+#include <gtest/gtest.h>
+
+namespace egretrack::telemetry {
+namespace {
+
+monotonic_time At(seconds since_start) {
+  return monotonic_time(since_start);
+}
+
+void RecordMany(burn_meter& meter, int on_time, int missed, seconds at) {
+  for (int i = 0; i < on_time + missed; ++i)
+    meter.Record("d", i < on_time, At(at));
+}
+
+// Guards against windows that count too long a time or the wrong share.
+TEST(BurnMeter, CountsEachWindow) {
+  const auto meter = burn_meter::Create();
+  meter->SetObjective("d", 0.9);
+  RecordMany(*meter, 0, 10, seconds(0));
+  RecordMany(*meter, 90, 10, seconds(1000));
+  const auto now = meter->Report(At(seconds(1010)));
+  ASSERT_EQ(now.desks.size(), 1U);
+  const auto& windows = now.desks[0].windows;
+  ASSERT_EQ(windows.size(), 4U);
+  EXPECT_EQ(windows[0].length, seconds(60));
+  EXPECT_EQ(windows[1].requests, 100U);
+  EXPECT_NEAR(windows[1].burn, 1.0, 1e-9);
+  EXPECT_EQ(windows[2].missed, 20U);
+  EXPECT_NEAR(windows[3].burn, 20.0 / 110 / 0.1, 1e-9);
+
+  const auto later = meter->Report(At(seconds(1070))).desks[0].windows;
+  EXPECT_EQ(later[0].requests, 0U);
+  EXPECT_EQ(later[0].burn, 0);
+}
+
+// Guards against an outcome of an earlier hour that counts again when its
+// place is reused.
+TEST(BurnMeter, ForgetsAfterAnHour) {
+  const auto meter = burn_meter::Create();
+  RecordMany(*meter, 0, 5, seconds(7));
+  RecordMany(*meter, 1, 0, seconds(3607));
+  EXPECT_EQ(meter->Report(At(seconds(3607))).desks[0].windows[3].requests, 1U);
+  EXPECT_EQ(meter->Report(At(seconds(9000))).desks[0].windows[3].requests, 0U);
+}
+
+// Guards against a history that is out of order or longer than an hour.
+TEST(BurnMeter, KeepsOneValuePerMinute) {
+  const auto meter = burn_meter::Create();
+  meter->SetObjective("d", 0.5);
+  RecordMany(*meter, 0, 1, seconds(0));
+  RecordMany(*meter, 1, 1, seconds(119));
+  EXPECT_EQ(meter->Report(At(seconds(119))).desks[0].history,
+            (std::vector<double>{2, 1}));
+  EXPECT_EQ(meter->Report(At(seconds(90000))).desks[0].history.size(), 60U);
+}
+
+burn_report Sample() {
+  burn_report report;
+  report.desks.push_back(
+      {"a&b", 0.999, {{seconds(60), 10, 1, 100}}, {0, 0.5, 100}});
+  report.desks.push_back({"plain", 0.9, {}, {}});
+  return report;
+}
+
+// Guards against a client that shows other figures than the entry sent.
+TEST(BurnJson, RoundTrip) {
+  const auto parsed = ParseBurnReport(ToJson(Sample()));
+  ASSERT_TRUE(parsed.has_value()) << parsed.error().ToString();
+  EXPECT_EQ(ToText(*parsed), ToText(Sample()));
+  EXPECT_EQ(ToSvg(*parsed), ToSvg(Sample()));
+  for (const auto* text : {"", "{}", "{\"desks\":[1]}", "{\"desks\":1}"})
+    EXPECT_EQ(ParseBurnReport(text).error().code, errc::kParseFailed);
+}
+
+TEST(BurnText, IsAligned) {
+  EXPECT_EQ(ToText(Sample()),
+            "desk   objective   window    requests    missed      burn\n"
+            "a&b        0.999    1 min          10         1    100.00\n");
+}
+
+// Guards against charts that a browser refuses or that lack the allowance.
+TEST(BurnSvg, EscapesNamesAndDrawsEachDesk) {
+  const std::string svg = ToSvg(Sample());
+  EXPECT_NE(svg.find(">a&amp;b</text>"), std::string::npos);
+  EXPECT_EQ(svg.find("a&b"), std::string::npos);
+  EXPECT_NE(svg.find("allowance (burn 1)"), std::string::npos);
+  EXPECT_NE(svg.find(">minutes ago</text>"), std::string::npos);
+  EXPECT_NE(svg.find(",50 \"/>"), std::string::npos);  // 100 is at the top.
+  EXPECT_EQ(ToSvg({}).find("nan"), std::string::npos);
+}
+
+}  // namespace
+}  // namespace egretrack::telemetry
--- /dev/null
+++ b/src/telemetry/tests/metrics_test.cc
@@ -0,0 +1,80 @@
+#include "egretrack/telemetry/metrics.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <random>
+#include <vector>
+
+#include <gtest/gtest.h>
+
+#include "telemetry/summary.h"
+
+namespace egretrack::telemetry {
+namespace {
+
+// Guards against output that a Prometheus server rejects.
+TEST(Metrics, TextFormat) {
+  const auto all = metrics::Create();
+  all->SetCounter("jobs_total", "kind=\"b\"", 2);
+  all->SetCounter("jobs_total", "kind=\"a\"", 1);
+  all->SetCounter("jobs_total", "kind=\"a\"", 3);
+  all->SetGauge("queue", "", 1.5);
+  all->Observe("run_ms", "", 10);
+  all->Observe("run_ms", "", 20);
+  EXPECT_EQ(all->ToText(),
+            "# TYPE jobs_total counter\n"
+            "jobs_total{kind=\"a\"} 3\n"
+            "jobs_total{kind=\"b\"} 2\n"
+            "# TYPE queue gauge\n"
+            "queue 1.5\n"
+            "# TYPE run_ms summary\n"
+            "run_ms{quantile=\"0.5\"} 10\n"
+            "run_ms{quantile=\"0.99\"} 20\n"
+            "run_ms_sum 30\n"
+            "run_ms_count 2\n"
+            "# TYPE run_ms_mean gauge\n"
+            "run_ms_mean 15\n"
+            "# TYPE run_ms_max gauge\n"
+            "run_ms_max 20\n");
+}
+
+// Guards against quantiles that are wrong for few or skewed observations:
+// each estimate is compared with the exact one, 5 % apart at most.
+TEST(Summary, QuantilesAreNearTheExactOnes) {
+  std::mt19937_64 random(20261204);
+  std::lognormal_distribution<double> run_time(4, 1);
+  summary estimated;
+  std::vector<double> exact;
+  for (const std::size_t size : {1U, 5U, 100U, 2000U, 20000U}) {
+    while (exact.size() < size) {
+      exact.push_back(run_time(random));
+      estimated.Add(exact.back());
+    }
+    std::sort(exact.begin(), exact.end());
+    const auto rank = [&](double p) {
+      return exact[static_cast<std::size_t>(
+                       std::ceil(p * static_cast<double>(size))) -
+                   1];
+    };
+    EXPECT_NEAR(estimated.Quantile(quantile::kMedian), rank(0.5),
+                0.05 * rank(0.5));
+    EXPECT_NEAR(estimated.Quantile(quantile::kP99), rank(0.99),
+                0.05 * rank(0.99));
+    EXPECT_EQ(estimated.maximum(), exact.back());
+  }
+}
+
+// Guards against one bad observation that spoils the mean.
+TEST(Summary, IgnoresWhatIsNotFinite) {
+  summary values;
+  values.Add(std::numeric_limits<double>::quiet_NaN());
+  values.Add(std::numeric_limits<double>::infinity());
+  EXPECT_EQ(values.mean(), 0);
+  values.Add(4);
+  EXPECT_EQ(values.mean(), 4);
+  EXPECT_EQ(values.count(), 1U);
+}
+
+}  // namespace
+}  // namespace egretrack::telemetry
