Add the scenario runner with embedded Lua

Cause: the guarantees hold for whole processes, so they are shown on the real programs while these are killed, frozen and cut off.

Change: scenario_runner gives Lua scripts native functions for processes, relays, HTTP, raw connections, files and ledgers; testsuite/lib builds the verbs on them. Children run in process groups of their own and die with the runner. Output is compared with expected.txt, and all ledgers are checked at the end. All programs go to one folder, bin.

Conclusion: scenarios can be written; they need the daemons to run.

--- a/cmake/options.cmake
+++ b/cmake/options.cmake
@@ -3,6 +3,8 @@
 set(CMAKE_CXX_STANDARD_REQUIRED ON)
 set(CMAKE_CXX_EXTENSIONS OFF)
 set(CMAKE_EXPORT_COMPILE_COMMANDS ON)
+# One folder for all programs, so that scenarios and the operator find them.
+set(CMAKE_RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
 
 set(EGRETRACK_SANITIZER "" CACHE STRING "Value for -fsanitize, for example address,undefined or thread")
 
--- /dev/null
+++ b/src/standins/child_process.cc
@@ -0,0 +1,96 @@
+#include "standins/child_process.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <utility>
+#include <vector>
+
+namespace egretrack::standins {
+namespace {
+
+constexpr int kExecFailed = 127;
+constexpr int kSignalledBase = 128;
+
+std::vector<char*> ArgumentPointers(std::vector<std::string>& words) {
+  std::vector<char*> pointers;
+  pointers.reserve(words.size() + 1);
+  for (auto& word : words)
+    pointers.push_back(word.data());
+  pointers.push_back(nullptr);
+  return pointers;
+}
+
+// Runs between fork and exec, so it only makes calls that are safe there.
+[[noreturn]] void RunChild(char* const* arguments, int output, pid_t parent) {
+  setpgid(0, 0);
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  // The parent may have died before the line above.
+  if (getppid() != parent)
+    _exit(kExecFailed);
+  dup2(output, STDOUT_FILENO);
+  dup2(output, STDERR_FILENO);
+  execv(arguments[0], arguments);
+  _exit(kExecFailed);
+}
+
+}  // namespace
+
+result<child_process> child_process::Start(
+    const std::string& program,
+    std::span<const std::string> arguments,
+    const std::string& output) {
+  std::vector<std::string> words = {program};
+  words.insert(words.end(), arguments.begin(), arguments.end());
+  const std::vector<char*> pointers = ArgumentPointers(words);
+  const int log =
+      open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  if (log < 0) {
+    return MakeError(std::error_code(errno, std::system_category()), output);
+  }
+  const pid_t parent = getpid();
+  const pid_t pid = fork();
+  if (pid == 0)
+    RunChild(pointers.data(), log, parent);
+  const int cause = errno;
+  close(log);
+  if (pid < 0)
+    return MakeError(std::error_code(cause, std::system_category()), program);
+  // Set on both sides, so that the group exists whichever runs first.
+  setpgid(pid, pid);
+  return child_process(pid);
+}
+
+child_process::child_process(child_process&& other) noexcept
+    : pid_(std::exchange(other.pid_, -1)), exit_code_(other.exit_code_) {}
+
+child_process::~child_process() {
+  if (pid_ < 0 || exit_code_)
+    return;
+  Signal(SIGKILL);
+  Reap(0);
+}
+
+void child_process::Signal(int signal) {
+  if (Running())
+    kill(-pid_, signal);
+}
+
+bool child_process::Running() {
+  if (!exit_code_)
+    Reap(WNOHANG);
+  return !exit_code_;
+}
+
+void child_process::Reap(int wait_options) {
+  int status = 0;
+  if (waitpid(pid_, &status, wait_options) != pid_)
+    return;
+  exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status)
+                                 : kSignalledBase + WTERMSIG(status);
+}
+
+}  // namespace egretrack::standins
--- /dev/null
+++ b/src/standins/scenario_runner.cc
@@ -0,0 +1,159 @@
+// Runs one scenario: a Lua script that starts the real programs, disturbs them
+// and prints what it saw, which is compared with the reference output.
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <string>
+#include <system_error>
+
+#include <CLI/CLI.hpp>
+
+#include "egretrack/base/ids.h"
+#include "standins/script_host.h"
+
+namespace egretrack::standins {
+namespace {
+
+namespace fs = std::filesystem;
+
+constexpr int kExitOk = 0;
+constexpr int kExitFailed = 1;
+constexpr int kDefaultTimeoutSeconds = 110;
+// Of each log, when a scenario fails.
+constexpr std::size_t kLogTailBytes = 3000;
+
+struct runner_options {
+  std::string programs;
+  std::string library;
+  std::string scenario;
+  int timeout = kDefaultTimeoutSeconds;
+  bool verbose = false;
+  bool compare = true;
+  bool keep = false;
+};
+
+// A fresh folder that goes with the object.
+class temporary_directory {
+ public:
+  explicit temporary_directory(bool keep) : keep_(keep) {
+    path_ = fs::temp_directory_path() /
+            ("egretrack-" + std::to_string(RandomNumber()));
+    fs::create_directories(path_);
+  }
+  ~temporary_directory() {
+    std::error_code ignored;
+    if (!keep_)
+      fs::remove_all(path_, ignored);
+  }
+  temporary_directory(const temporary_directory&) = delete;
+  temporary_directory& operator=(const temporary_directory&) = delete;
+
+  const fs::path& path() const { return path_; }
+
+ private:
+  fs::path path_;
+  bool keep_;
+};
+
+std::string ReadAll(const fs::path& path) {
+  std::ifstream file(path, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+void PrintLogs(const fs::path& directory) {
+  for (const auto& entry : fs::directory_iterator(directory)) {
+    if (entry.path().extension() != ".log")
+      continue;
+    const std::string text = ReadAll(entry.path());
+    const std::size_t from =
+        text.size() > kLogTailBytes ? text.size() - kLogTailBytes : 0;
+    std::fprintf(stderr, "---- %s\n%s", entry.path().filename().c_str(),
+                 text.c_str() + from);
+  }
+}
+
+bool CompareOutput(const fs::path& reference, const std::string& output) {
+  const std::string expected = ReadAll(reference);
+  if (expected == output)
+    return true;
+  std::fprintf(stderr, "---- expected (%s)\n%s---- printed\n%s",
+               reference.c_str(), expected.c_str(), output.c_str());
+  return false;
+}
+
+bool RunScripts(script_host& host, const runner_options& options) {
+  for (const std::string& script :
+       {options.library + "/cluster.lua", options.library + "/load.lua",
+        options.scenario + "/scenario.lua"}) {
+    const auto done = host.RunFile(script);
+    if (!done) {
+      std::fprintf(stderr, "%s\n", done.error().detail.c_str());
+      return false;
+    }
+  }
+  return true;
+}
+
+bool CheckLedgers(const script_host& host, std::string& output) {
+  const auto faults = host.CheckLedgers();
+  for (const auto& fault : faults)
+    std::fprintf(stderr, "ledger: %s\n", fault.c_str());
+  output += faults.empty() ? "ledger: ok\n" : "ledger: faulty\n";
+  return faults.empty();
+}
+
+int Run(const runner_options& options) {
+  const temporary_directory directory(options.keep);
+  script_options script;
+  script.programs = options.programs;
+  script.directory = directory.path();
+  script.scenario = options.scenario;
+  script.timeout = seconds(options.timeout);
+  script.verbose = options.verbose;
+  const auto host = script_host::Create(script);
+
+  bool passed = RunScripts(*host, options);
+  std::string output = host->output();
+  passed = CheckLedgers(*host, output) && passed;
+  host->EndProcesses();
+  if (options.verbose)
+    std::printf("%s", output.substr(host->output().size()).c_str());
+  if (options.compare) {
+    passed =
+        CompareOutput(options.scenario + "/expected.txt", output) && passed;
+  }
+  if (!passed)
+    PrintLogs(directory.path());
+  return passed ? kExitOk : kExitFailed;
+}
+
+int Main(int argc, char** argv) {
+  std::signal(SIGPIPE, SIG_IGN);
+  runner_options options;
+  CLI::App app("Runs a scenario against the real programs");
+  app.add_option("--bin", options.programs, "Folder of the programs")
+      ->required();
+  app.add_option("--library", options.library, "Folder of cluster.lua")
+      ->required();
+  app.add_option("--timeout", options.timeout, "Time limit in seconds");
+  app.add_flag("--verbose", options.verbose, "Print the output at once");
+  app.add_flag("!--no-compare", options.compare,
+               "Do not compare with expected.txt");
+  app.add_flag("--keep", options.keep, "Keep the folder with logs and ledgers");
+  app.add_option("scenario", options.scenario, "Folder of the scenario")
+      ->required();
+  CLI11_PARSE(app, argc, argv);
+  return Run(options);
+}
+
+}  // namespace
+}  // namespace egretrack::standins
+
+int main(int argc, char** argv) {
+  return egretrack::standins::Main(argc, argv);
+}
