Add a probe of bytes, processor time and memory per event

Change: capacity_probe runs the cores and the codec against a few lines of the other side, at 11 to 1,800 agents and 1 to 192 teams.

--- /dev/null
+++ b/src/standins/capacity_probe.cmake
@@ -0,0 +1,2 @@
+add_executable(capacity_probe capacity_probe.cc)
+target_link_libraries(capacity_probe PRIVATE egretrack_decision egretrack_wire)
