--- /dev/null
+++ b/src/settings/tests/page_test.cc
@@ -0,0 +1,34 @@
+#include <gtest/gtest.h>
+
+#include "egretrack/base/file.h"
+#include "settings/keys.h"
+#include "toml/tests/key_page.h"
+
+namespace egretrack::settings {
+namespace {
+
+// Guards against a page that promises other keys, defaults or ranges than the
+// daemon has.
+TEST(SettingsPage, AgreesWithTheCode) {
+  const std::string page =
+      ReadFile(EGRETRACK_SOURCE_DIR "/docs/settings.md").value();
+  EXPECT_EQ(keys::PageFaults(page, "## `[entry]`", EntryKeys()), "");
+  EXPECT_EQ(keys::PageFaults(page, "## `[[entry.peers]]`", PeerKeys()), "");
+  EXPECT_EQ(keys::PageFaults(page, "## `[agent]`", AgentKeys()), "");
+  EXPECT_EQ(
+      keys::PageFaults(page, "## `[entry.log]` and `[agent.log]`", LogKeys()),
+      "");
+}
+
+// Guards against examples that the daemon refuses.
+TEST(SettingsExamples, AreValid) {
+  for (const auto* name : {"entry", "agent"}) {
+    const std::string file =
+        std::string(EGRETRACK_SOURCE_DIR "/examples/") + name + ".toml";
+    for (const auto& fault : LoadSettings(file).faults)
+      ADD_FAILURE() << fault.ToString();
+  }
+}
+
+}  // namespace
+}  // namespace egretrack::settings
