--- /dev/null
+++ b/src/egretrackctl/commands/configuration_commands.cc
@@ -0,0 +1,295 @@
+#include <array>
+#include <cstdint>
+#include <cstdio>
+#include <optional>
+#include <ostream>
+
+#include <CLI/CLI.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "egretrack/base/file.h"
+#include "egretrack/base/ids.h"
+#include "egretrack/objects/check.h"
+#include "egretrackctl/commands/command.h"
+#include "egretrackctl/commands/json_view.h"
+
+namespace egretrack::ctl {
+namespace {
+
+namespace json = boost::json;
+
+constexpr unsigned kStatusNotFound = 404;
+
+constexpr std::array<json_column, 5> kChangeColumns{{
+    {"CHANGE", "change"},
+    {"OBJECT", "object"},
+    {"KEY", "key"},
+    {"BEFORE", "before"},
+    {"AFTER", "after"},
+}};
+
+constexpr std::array<json_column, 4> kHistoryColumns{{
+    {"VERSION", "version"},
+    {"PUBLISHED", "published"},
+    {"PUBLICATION", "publication"},
+    {"OBJECTS", "objects"},
+}};
+
+// Indexed by change_kind.
+constexpr std::array kChangeNames{"added", "removed", "changed"};
+
+void DeclareFile(CLI::App& app, std::string& path) {
+  app.add_option("file", path, "TOML file with the objects")->required();
+}
+
+json::array FaultsToJson(std::span<const objects::config_fault> faults) {
+  json::array list;
+  for (const auto& fault : faults) {
+    list.push_back({{"object", fault.object},
+                    {"key", fault.key},
+                    {"reason", fault.reason}});
+  }
+  return list;
+}
+
+json::array ChangesToJson(std::span<const objects::object_change> changes) {
+  json::array list;
+  for (const auto& change : changes) {
+    list.push_back(
+        {{"change", kChangeNames.at(static_cast<std::size_t>(change.kind))},
+         {"object", change.object},
+         {"key", change.key},
+         {"before", change.before},
+         {"after", change.after}});
+  }
+  return list;
+}
+
+struct checked_file {
+  std::string document;
+  objects::object_set objects;
+};
+
+// Reads and checks a file; prints every fault when there is one.
+std::optional<checked_file> LoadFile(const session& session,
+                                     const std::string& path) {
+  const auto document = ReadFile(path);
+  if (!document) {
+    session.ReportInvalid(document.error().ToString());
+    return std::nullopt;
+  }
+  objects::check_outcome outcome = objects::CheckDocument(*document);
+  if (outcome.faults.empty())
+    return checked_file{*document, std::move(outcome.objects)};
+  if (session.options().json) {
+    session.out() << json::serialize(
+                         json::value{{"valid", false},
+                                     {"faults", FaultsToJson(outcome.faults)}})
+                  << '\n';
+  }
+  for (const auto& fault : outcome.faults)
+    session.err() << path << ": " << fault.ToString() << '\n';
+  return std::nullopt;
+}
+
+struct published {
+  std::uint64_t version = 0;  // 0: nothing is published yet.
+  std::string document;
+};
+
+// Reads the published configuration. Without one, `code` says why.
+std::optional<published> ReadPublished(const session& session,
+                                       exit_code& code) {
+  const entry_reply reply = session.Ask(MakeRequest("GET", "/v1/config"));
+  if (!reply.response) {
+    code = session.ReportNoAnswer(reply, true);
+    return std::nullopt;
+  }
+  if (reply.response->status == kStatusNotFound)
+    return published{};
+  code = CodeOf(reply);
+  if (code != exit_code::kOk) {
+    session.ReportError(reply);
+    return std::nullopt;
+  }
+  const auto body = ParseJson(reply.response->body);
+  const auto* fields = body ? body->if_object() : nullptr;
+  const auto* version =
+      fields != nullptr ? fields->if_contains("version") : nullptr;
+  boost::system::error_code no_integer;
+  const auto number =
+      version != nullptr ? version->to_number<std::uint64_t>(no_integer) : 0;
+  if (version == nullptr || no_integer) {
+    session.err() << "The entry sent no version of the configuration.\n";
+    code = exit_code::kFailed;
+    return std::nullopt;
+  }
+  return published{number, TextAt(*body, "document")};
+}
+
+class check_command final : public command {
+ public:
+  void Declare(CLI::App& app) override { DeclareFile(app, path_); }
+
+  exit_code Run(const session& session) override {
+    const auto file = LoadFile(session, path_);
+    if (!file)
+      return exit_code::kInvalid;
+    if (session.options().json) {
+      session.out() << R"({"valid":true,"faults":[]})" << '\n';
+      return exit_code::kOk;
+    }
+    text_table table({"DESKS", "KINDS", "ENDPOINTS", "SHIFTS", "LIMITS"});
+    const objects::object_set& set = file->objects;
+    table.AddRow(
+        {std::to_string(set.desks.size()), std::to_string(set.kinds.size()),
+         std::to_string(set.endpoints.size()),
+         std::to_string(set.shifts.size()), std::to_string(set.limits.size())});
+    session.out() << path_ << " is valid.\n";
+    table.Print(session.out());
+    return exit_code::kOk;
+  }
+
+ private:
+  std::string path_;
+};
+
+class publish_command final : public command {
+ public:
+  void Declare(CLI::App& app) override {
+    DeclareFile(app, path_);
+    app.add_option("--base", base_,
+                   "Version that the file replaces; the published one when "
+                   "absent");
+  }
+
+  exit_code Run(const session& session) override {
+    const auto file = LoadFile(session, path_);
+    if (!file)
+      return exit_code::kInvalid;
+    if (!base_) {
+      exit_code code = exit_code::kOk;
+      const auto current = ReadPublished(session, code);
+      if (!current)
+        return code;
+      base_ = current->version;
+    }
+    return Publish(session, file->document);
+  }
+
+ private:
+  // The entry recognises the publication by its id, so that a repetition after
+  // a lost answer reads the outcome and never writes again.
+  static std::string NewPublicationId() {
+    std::array<char, 40> digits{};
+    std::snprintf(digits.data(), digits.size(), "%016llx%016llx",
+                  static_cast<unsigned long long>(RandomNumber()),
+                  static_cast<unsigned long long>(RandomNumber()));
+    return digits.data();
+  }
+
+  exit_code Publish(const session& session, const std::string& document) const {
+    const std::string publication = NewPublicationId();
+    const entry_reply reply =
+        session.Ask(MakeRequest("PUT",
+                                "/v1/config?base=" + std::to_string(*base_) +
+                                    "&publication=" + publication,
+                                document));
+    if (!reply.response) {
+      session.err() << "Publication " << publication << ":\n";
+      return session.ReportNoAnswer(reply, false);
+    }
+    return Report(session, reply);
+  }
+
+  static exit_code Report(const session& session, const entry_reply& reply) {
+    const net::http_response& response = *reply.response;
+    const exit_code code = CodeOf(reply);
+    const auto body = ParseJson(response.body);
+    if (code != exit_code::kOk || !body) {
+      session.ReportError(reply);
+      if (code == exit_code::kConflict && body && !session.options().json)
+        MakeTable(kChangeColumns, ArrayAt(*body, "diff")).Print(session.err());
+      return code;
+    }
+    if (session.options().json)
+      session.out() << response.body << '\n';
+    else
+      session.out() << "Published as version " << TextAt(*body, "version")
+                    << ".\n";
+    return code;
+  }
+
+  std::string path_;
+  std::optional<std::uint64_t> base_;
+};
+
+class diff_command final : public command {
+ public:
+  void Declare(CLI::App& app) override { DeclareFile(app, path_); }
+
+  exit_code Run(const session& session) override {
+    const auto file = LoadFile(session, path_);
+    if (!file)
+      return exit_code::kInvalid;
+    exit_code code = exit_code::kOk;
+    const auto current = ReadPublished(session, code);
+    if (!current)
+      return code;
+    const auto before = objects::CheckDocument(current->document).objects;
+    const auto changes = ChangesToJson(objects::Diff(before, file->objects));
+    if (session.options().json) {
+      session.out() << json::serialize(json::value{
+                           {"version", current->version}, {"diff", changes}})
+                    << '\n';
+      return exit_code::kOk;
+    }
+    session.out() << changes.size() << " changes against version "
+                  << current->version << ".\n";
+    if (!changes.empty())
+      MakeTable(kChangeColumns, changes).Print(session.out());
+    return exit_code::kOk;
+  }
+
+ private:
+  std::string path_;
+};
+
+class history_command final : public command {
+ public:
+  void Declare(CLI::App& /*app*/) override {}
+
+  exit_code Run(const session& session) override {
+    const entry_reply reply =
+        session.Ask(MakeRequest("GET", "/v1/config/history"));
+    if (!reply.response)
+      return session.ReportNoAnswer(reply, true);
+    const exit_code code = CodeOf(reply);
+    const auto body = ParseJson(reply.response->body);
+    if (code != exit_code::kOk || !body)
+      return session.ReportError(reply);
+    if (session.options().json)
+      session.out() << reply.response->body << '\n';
+    else
+      MakeTable(kHistoryColumns, ArrayAt(*body, "versions"))
+          .Print(session.out());
+    return code;
+  }
+};
+
+constexpr std::array<command_entry, 4> kCommands{{
+    {"check", "Check a file of objects without an entry",
+     &Create<check_command>},
+    {"publish", "Publish a file of objects", &Create<publish_command>},
+    {"diff", "Compare a file with the published objects",
+     &Create<diff_command>},
+    {"history", "List the published versions", &Create<history_command>},
+}};
+
+}  // namespace
+
+std::span<const command_entry> ConfigurationCommands() {
+  return kCommands;
+}
+
+}  // namespace egretrack::ctl
--- /dev/null
+++ b/src/egretrackctl/commands/process_commands.cc
@@ -0,0 +1,154 @@
+#include <array>
+#include <ostream>
+
+#include <CLI/CLI.hpp>
+#include <boost/json/serialize.hpp>
+
+#include "egretrack/base/ids.h"
+#include "egretrackctl/commands/command.h"
+#include "egretrackctl/commands/json_view.h"
+
+namespace egretrack::ctl {
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::array<json_column, 8> kEntryColumns{{
+    {"ENTRY", "id"},
+    {"INCARNATION", "incarnation"},
+    {"VERSION", "config_version"},
+    {"READY", "ready"},
+    {"DRAINING", "draining"},
+    {"JOBS", "jobs_running"},
+    {"QUEUED", "tasks_queued"},
+    {"ADDRESS", "address"},
+}};
+
+constexpr std::array<json_column, 9> kAgentColumns{{
+    {"AGENT", "agent"},
+    {"ENDPOINT", "endpoint"},
+    {"FAILURE DOMAIN", "failure_domain"},
+    {"VERSION", "config_version"},
+    {"SLOTS", "slots"},
+    {"OUTSTANDING", "outstanding"},
+    {"REACHABLE", "reachable"},
+    {"DRAINING", "draining"},
+    {"EJECTED", "ejected"},
+}};
+
+class status_command final : public command {
+ public:
+  void Declare(CLI::App& /*app*/) override {}
+
+  exit_code Run(const session& session) override {
+    exit_code worst = exit_code::kOk;
+    for (const net::tcp_address& entry : session.options().entries) {
+      const exit_code code = Query(session, entry);
+      if (worst == exit_code::kOk)
+        worst = code;
+    }
+    if (!session.options().json)
+      Print(session);
+    return worst;
+  }
+
+ private:
+  exit_code Query(const session& session, const net::tcp_address& entry) {
+    const entry_reply reply =
+        session.AskOne(entry, MakeRequest("GET", "/v1/status"));
+    if (!reply.response) {
+      AddUnreachable(session, entry);
+      return session.ReportNoAnswer(reply, true);
+    }
+    const exit_code code = CodeOf(reply);
+    auto body = ParseJson(reply.response->body);
+    if (code != exit_code::kOk || !body || !body->is_object())
+      return session.ReportError(reply);
+    if (session.options().json) {
+      session.out() << reply.response->body << '\n';
+      return code;
+    }
+    body->as_object()["address"] = entry.ToString();
+    statuses_.push_back(std::move(*body));
+    return code;
+  }
+
+  void AddUnreachable(const session& session, const net::tcp_address& entry) {
+    const json::value row{{"address", entry.ToString()},
+                          {"ready", "unreachable"}};
+    if (session.options().json)
+      session.out() << json::serialize(row) << '\n';
+    else
+      statuses_.push_back(row);
+  }
+
+  void Print(const session& session) const {
+    MakeTable(kEntryColumns, statuses_).Print(session.out());
+    for (const json::value& status : statuses_) {
+      const auto& agents = ArrayAt(status, "agents");
+      if (agents.empty())
+        continue;
+      session.out() << "\nAgents of " << TextAt(status, "id") << ":\n";
+      MakeTable(kAgentColumns, agents).Print(session.out());
+    }
+  }
+
+  json::array statuses_;
+};
+
+class drain_command final : public command {
+ public:
+  void Declare(CLI::App& app) override {
+    app.add_option("--agent", agent_,
+                   "Drain this agent; without it, the entry itself");
+  }
+
+  exit_code Run(const session& session) override {
+    if (agent_.empty())
+      return DrainEntry(session);
+    if (!IsValidName(agent_))
+      return session.ReportInvalid("--agent: '" + agent_ + "' is not a name");
+    return Report(session, session.Ask(MakeRequest(
+                               "POST", "/v1/agents/" + agent_ + "/drain")));
+  }
+
+ private:
+  // Never asks a second entry, which would drain that one as well.
+  static exit_code DrainEntry(const session& session) {
+    const auto& entries = session.options().entries;
+    if (entries.size() != 1) {
+      session.err() << "drain takes one --entry, the one to drain\n";
+      return exit_code::kUsage;
+    }
+    return Report(session, session.AskOne(entries.front(),
+                                          MakeRequest("POST", "/v1/drain")));
+  }
+
+  static exit_code Report(const session& session, const entry_reply& reply) {
+    if (!reply.response)
+      return session.ReportNoAnswer(reply, false);
+    const exit_code code = CodeOf(reply);
+    if (code != exit_code::kOk)
+      return session.ReportError(reply);
+    if (session.options().json)
+      session.out() << reply.response->body << '\n';
+    else
+      session.out() << "Draining.\n";
+    return code;
+  }
+
+  std::string agent_;
+};
+
+constexpr std::array<command_entry, 2> kCommands{{
+    {"status", "Show entries and their agents", &Create<status_command>},
+    {"drain", "Drain an entry or an agent", &Create<drain_command>},
+}};
+
+}  // namespace
+
+std::span<const command_entry> ProcessCommands() {
+  return kCommands;
+}
+
+}  // namespace egretrack::ctl
