Make the burn chart easier to read

Cause: the ticks of a scale of 5 were at 1.25 steps, a history of one minute was not drawn, and a long desk name left the picture.

Change: five steps per scale, a mark at the latest value, a legend as wide as the longest name.

Conclusion: the chart shows every desk from its first minute.

--- a/src/telemetry/burn_svg.cc
+++ b/src/telemetry/burn_svg.cc
@@ -11,7 +11,6 @@
 namespace {
 
 // All lengths are in SVG user units.
-constexpr double kWidth = 860;
 constexpr double kMinHeight = 400;
 constexpr double kLeft = 70;
 constexpr double kTop = 50;
@@ -19,11 +18,15 @@
 constexpr double kPlotWidth = 570;
 constexpr double kLegendLeft = kLeft + kPlotWidth + 20;
 constexpr double kLegendRow = 20;
+constexpr double kLegendText = kLegendLeft + 32;
+constexpr double kCharacterWidth = 8;  // Upper bound at font size 13.
 constexpr double kTickGap = 8;
+constexpr std::string_view kAllowanceText = "allowance (burn 1)";
 
 constexpr int kMinutes = 60;
 constexpr int kMinuteStep = 10;
-constexpr int kValueSteps = 4;
+// Even ticks at scales of 1, 2 and 5 times a power of ten.
+constexpr int kValueSteps = 5;
 // The allowance line at 1 stays clear of the frame.
 constexpr double kMinScale = 2;
 
@@ -84,11 +87,20 @@
   return RoundUp(highest);
 }
 
+// The legend holds the longest name.
+double Width(const burn_report& report) {
+  std::size_t longest = kAllowanceText.size();
+  for (const desk_burn& desk : report.desks)
+    longest = std::max(longest, desk.desk.size());
+  return kLegendText + (kCharacterWidth * static_cast<double>(longest + 1));
+}
+
 class chart {
  public:
   explicit chart(const burn_report& report)
       : report_(report),
         scale_(Scale(report)),
+        width_(Width(report)),
         height_(std::max(
             kMinHeight,
             kTop + kBottomMargin +
@@ -131,9 +143,9 @@
 
   void Open() {
     const std::string size =
-        "width=\"" + Number(kWidth) + "\" height=\"" + Number(height_) + "\"";
+        "width=\"" + Number(width_) + "\" height=\"" + Number(height_) + "\"";
     svg_ = "<svg xmlns=\"http://www.w3.org/2000/svg\" " + size +
-           " viewBox=\"0 0 " + Number(kWidth) + " " + Number(height_) +
+           " viewBox=\"0 0 " + Number(width_) + " " + Number(height_) +
            "\" font-family=\"sans-serif\" font-size=\"13\">\n<rect " + size +
            " fill=\"white\"/>\n";
     Text(kLeft, kTop / 2, "font-size=\"16\"",
@@ -169,7 +181,7 @@
          "stroke=\"#666666\" stroke-dasharray=\"6 4\"");
     Line(kLegendLeft, kTop, kLegendLeft + 24, kTop,
          "stroke=\"#666666\" stroke-dasharray=\"6 4\"");
-    Text(kLegendLeft + 32, kTop + 4, "", "allowance (burn 1)");
+    Text(kLegendText, kTop + 4, "", kAllowanceText);
   }
 
   void DrawDesk(const desk_burn& desk, std::size_t index) {
@@ -183,13 +195,23 @@
       svg_ += Number(X(minutes_ago)) + "," + Number(Y(burn)) + " ";
     }
     svg_ += "\"/>\n";
+    if (!desk.history.empty())
+      DrawLatest(desk.history.back(), stroke);
     const double y = kTop + (kLegendRow * static_cast<double>(index + 1));
     Line(kLegendLeft, y, kLegendLeft + 24, y, stroke);
-    Text(kLegendLeft + 32, y + 4, "", desk.desk);
+    Text(kLegendText, y + 4, "", desk.desk);
+  }
+
+  // A line of one point would not be drawn.
+  void DrawLatest(double burn, std::string_view stroke) {
+    svg_ += "<circle cx=\"" + Number(X(0)) + "\" cy=\"" + Number(Y(burn)) +
+            "\" r=\"3\" fill=\"white\" ";
+    svg_.append(stroke).append("/>\n");
   }
 
   const burn_report& report_;
   const double scale_;
+  const double width_;
   const double height_;
   const double bottom_;
   std::string svg_;
