--- /dev/null
+++ b/src/standins/tests/ideal_schedule_test.cc
@@ -0,0 +1,75 @@
+#include "standins/ideal_schedule.h"
+
+#include <gtest/gtest.h>
+
+namespace egretrack::standins {
+namespace {
+
+arrival Job(int at_ms, int deadline_ms, std::vector<milliseconds> run_times) {
+  arrival job;
+  job.at = milliseconds(at_ms);
+  job.deadline = milliseconds(deadline_ms);
+  job.run_times = std::move(run_times);
+  return job;
+}
+
+// Guards against an ideal that a real dispatcher could beat.
+TEST(IdealScheduleTest, UsesFastestSlotAndEarliestDeadline) {
+  const std::vector<double> speeds = {1, 2};
+  const std::vector<arrival> jobs = {
+      Job(0, 5000, {milliseconds(200)}),
+      Job(0, 5000, {milliseconds(300)}),
+      Job(10, 5000, {milliseconds(100)}),
+      Job(20, 400, {milliseconds(100)}),
+  };
+  const auto ends = IdealEnds(jobs, speeds);
+  EXPECT_EQ(ends[0], milliseconds(100));
+  EXPECT_EQ(ends[1], milliseconds(300));
+  // The last job has the earliest deadline, so it takes the free slot first.
+  EXPECT_EQ(ends[3], milliseconds(150));
+  EXPECT_EQ(ends[2], milliseconds(200));
+}
+
+// Guards against an ideal that spends slots on work that is late anyway.
+TEST(IdealScheduleTest, LeavesOutWhatCannotEndInTime) {
+  const std::vector<double> speeds = {1};
+  const std::vector<arrival> jobs = {
+      Job(0, 100, {milliseconds(500)}),
+      Job(0, 200, {milliseconds(150)}),
+  };
+  const auto ends = IdealEnds(jobs, speeds);
+  EXPECT_FALSE(ends[0].has_value());
+  EXPECT_EQ(ends[1], milliseconds(150));
+}
+
+// Guards against loads that differ between two runs of a comparison.
+TEST(WorkloadTest, SameSeedGivesSameArrivals) {
+  const workload_options options{.duration = seconds(2), .seed = 7};
+  const auto first = MakeWorkload("mixed", options);
+  const auto second = MakeWorkload("mixed", options);
+  ASSERT_TRUE(first.has_value());
+  ASSERT_EQ(first->size(), second->size());
+  for (std::size_t i = 0; i < first->size(); ++i) {
+    EXPECT_EQ((*first)[i].at, (*second)[i].at);
+    EXPECT_EQ((*first)[i].run_times, (*second)[i].run_times);
+  }
+}
+
+// Guards against an offered load that is not the one in the table.
+TEST(WorkloadTest, OffersTheWantedLoad) {
+  for (const char* name : {"steady", "crest", "stragglers", "mixed"}) {
+    const workload_options options{
+        .load = 0.8, .capacity = 100, .duration = seconds(400), .seed = 3};
+    const auto arrivals = MakeWorkload(name, options);
+    ASSERT_TRUE(arrivals.has_value());
+    double work_ms = 0;
+    for (const auto& job : *arrivals) {
+      for (const auto run_time : job.run_times)
+        work_ms += static_cast<double>(run_time.count());
+    }
+    EXPECT_NEAR(work_ms / 1000 / 400, 80, 8) << name;
+  }
+}
+
+}  // namespace
+}  // namespace egretrack::standins
