Keep malformed TOML documents from ending a process

Cause: the sanitizer builds showed that toml++ 3.3 asserts on a document such as "[?" (Debug builds abort), and has undefined behaviour for a letter such as U+00E9 outside of a text. A dotted key of 1,000,000 levels overflowed the stack when its tables were freed (exit by SIGSEGV, also in release builds); an entry reads such a document from PUT /v1/config.

A document is at most 1 MiB long and has at most 20,000 dots, which bounds its nesting.

--- a/src/objects/tests/check_test.cc
+++ b/src/objects/tests/check_test.cc
@@ -99,6 +99,14 @@
              std::string(closes) + "\"\n");
 }
 
+// A key so deep that freeing its tables would overflow the stack.
+std::string Dots(int count) {
+  std::string text;
+  for (int level = 0; level < count; ++level)
+    text += "a.";
+  return text + "a = 1";
+}
+
 // Limits x1 to x<count>, each the parent of the one before.
 std::string Levels(int count) {
   std::string text;
@@ -115,6 +123,11 @@
     ConfigFault,
     testing::Values(
         fault_case{"Syntax", "[desk", config_errc::kSyntax, "", ""},
+        fault_case{"TableHeader", "[?", config_errc::kSyntax, "", ""},
+        fault_case{"LetterAsKey", "\u00e9 = 1", config_errc::kSyntax, "", ""},
+        fault_case{"TooLong", std::string((1U << 20U) + 1, '#'),
+                   config_errc::kSyntax, "", ""},
+        fault_case{"TooDeep", Dots(500000), config_errc::kSyntax, "", ""},
         fault_case{"Empty", "", config_errc::kMissingKey, "", "desk"},
         fault_case{"UnknownSection", Add("[dsek.x]"), config_errc::kUnknownKey,
                    "", "dsek"},
--- a/src/settings/tests/settings_test.cc
+++ b/src/settings/tests/settings_test.cc
@@ -144,6 +144,8 @@
     SettingsFault,
     testing::Values(
         fault_case{"Syntax", "role = ", settings_errc::kSyntax, ""},
+        fault_case{"TableHeader", "[?", settings_errc::kSyntax, ""},
+        fault_case{"LetterAsKey", "\u00e9 = 1", settings_errc::kSyntax, ""},
         fault_case{"NoRole", "", settings_errc::kMissingKey, "role"},
         fault_case{"UnknownRole", Replace("\"entry\"", "\"x\""),
                    settings_errc::kOutOfRange, "role"},
--- a/src/toml/key_table.cc
+++ b/src/toml/key_table.cc
@@ -8,6 +8,12 @@
 namespace egretrack::keys {
 namespace {
 
+// Entries pass the document on to every agent.
+constexpr std::size_t kMaxDocumentBytes = 1U << 20U;
+// Each level of a dotted key costs stack when the tables are freed; 1,000,000
+// levels overflowed 8 MiB. A document has about one dot per object.
+constexpr std::ptrdiff_t kMaxDots = 20000;
+
 std::string Quote(std::string_view text) {
   return "'" + std::string(text) + "'";
 }
@@ -179,6 +185,14 @@
 }
 
 parsed_document ParseDocument(std::string_view document) {
+  if (document.size() > kMaxDocumentBytes) {
+    return {std::nullopt, "the document is longer than " +
+                              std::to_string(kMaxDocumentBytes) + " bytes"};
+  }
+  if (std::count(document.begin(), document.end(), '.') > kMaxDots) {
+    return {std::nullopt,
+            "the document has more than " + std::to_string(kMaxDots) + " dots"};
+  }
   try {
     return {toml::parse(document), ""};
   } catch (const toml::parse_error& failure) {
--- a/src/toml/key_table.h
+++ b/src/toml/key_table.h
@@ -11,9 +11,8 @@
 #include <variant>
 #include <vector>
 
-#include <toml++/toml.h>
-
 #include "egretrack/base/time.h"
+#include "toml/toml.h"
 
 // Reads TOML tables into structs by tables of member pointers. Private to the
 // packages that read TOML; each maps key_errc to its own error codes.
