--- /dev/null
+++ b/testsuite/foreign_bytes/scenario.lua
@@ -0,0 +1,57 @@
+-- Guards against bytes of another protocol, or damaged ones of ours, that end
+-- a process.
+cluster{entries = 2, agents = 1}
+
+-- A generator with a fixed seed, so that a failure can be repeated.
+local state = 20261204
+local function random_bytes(count)
+  local parts = {}
+  for i = 1, count do
+    state = (state * 1103515245 + 12345) % 2147483648
+    parts[i] = string.char(state // 65536 % 256)
+  end
+  return table.concat(parts)
+end
+
+-- What a ZeroMQ peer sends first (ZMTP 3.0, NULL mechanism, DEALER).
+local greeting = "\255" .. string.rep("\0", 8) .. "\127\3\0NULL"
+  .. string.rep("\0", 16 + 32)
+local ready = "\4\28\5READY\11Socket-Type\0\0\0\6DEALER"
+
+local ports = {
+  {"e1", "http"}, {"e1", "agents"}, {"e2", "agents"}, {"a1", "http"},
+}
+local connections = {}
+for round = 1, 25 do
+  for _, port in ipairs(ports) do
+    local connection = open_raw(port[1], port[2])
+    if connection then
+      connections[#connections + 1] = connection
+      if port[2] == "agents" and round % 2 == 0 then
+        native.tcp_send(connection, greeting .. ready)
+        -- Whole frames with content that is no message of ours.
+        for _ = 1, 20 do
+          local content = random_bytes(1 + round * 3)
+          native.tcp_send(connection,
+            "\0" .. string.char(#content) .. content)
+        end
+      else
+        native.tcp_send(connection, random_bytes(200 * round))
+      end
+    end
+  end
+end
+print("connections opened: " .. #connections)
+local answer = submit("e1", {tasks = echoes(3, "sleep=10")})
+print("served meanwhile: " .. answer.status)
+for _, connection in ipairs(connections) do
+  native.tcp_close(connection)
+end
+print("foreign messages are counted: "
+  .. tostring(metric("e1", "egretrack_malformed_frames_total") > 0))
+for _, name in ipairs{"e1", "e2", "a1"} do
+  print(name .. " running: " .. tostring(running(name)) .. " health="
+    .. http_status(name, "/v1/health"))
+end
+print("served afterwards: "
+  .. submit("e2", {tasks = echoes(3, "sleep=10")}).status)
--- a/testsuite/lib/cluster.lua
+++ b/testsuite/lib/cluster.lua
@@ -384,7 +384,7 @@
     return nil
   end
   local value = ("\n" .. body):match("\n" .. metric_name .. " ([%d%.e+]+)")
-  return tonumber(value or 0)
+  return math.tointeger(tonumber(value or 0)) or tonumber(value)
 end
 
 function open_raw(name, which)
