--- a/src/decision/agent_table.cc
+++ b/src/decision/agent_table.cc
@@ -1,17 +1,44 @@
 #include "decision/agent_table.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace egretrack::decision {
 namespace {
 
+constexpr std::size_t kMaxFormer = 8;
+
+// A repeated hello of a replaced incarnation would bring back credits that
+// were spent; only a new connection of it counts.
+bool IsRepeatedFormer(const entry_agent& agent,
+                      connection_number connection,
+                      incarnation from) {
+  return std::any_of(agent.former.begin(), agent.former.end(),
+                     [&](const former_incarnation& former) {
+                       return former.agent_incarnation == from &&
+                              connection <= former.last;
+                     });
+}
+
+void Replace(entry_agent& agent) {
+  std::erase_if(agent.former, [&agent](const former_incarnation& former) {
+    return former.agent_incarnation == agent.agent_incarnation;
+  });
+  agent.former.push_back({agent.agent_incarnation, agent.connection});
+  if (agent.former.size() > kMaxFormer)
+    agent.former.erase(agent.former.begin());
+}
+
 hello_effect EffectOf(const entry_agent& agent,
                       link_id link,
                       connection_number connection,
                       const wire::hello& hello) {
-  if (agent.life.phase() == agent_phase::kAbsent ||
-      agent.agent_incarnation != hello.agent_incarnation) {
+  if (agent.life.phase() == agent_phase::kAbsent)
     return hello_effect::kRestarted;
+  if (agent.agent_incarnation != hello.agent_incarnation) {
+    return IsRepeatedFormer(agent, connection, hello.agent_incarnation)
+               ? hello_effect::kStale
+               : hello_effect::kRestarted;
   }
   if (connection > agent.connection)
     return hello_effect::kReconnected;
@@ -37,6 +64,8 @@
   if (bound != links_.end() && bound->second == agent.get())
     links_.erase(bound);
   links_[link] = agent.get();
+  if (effect == hello_effect::kRestarted)
+    Replace(*agent);
   agent->link = link;
   agent->connection = connection;
   agent->agent_incarnation = hello.agent_incarnation;
--- a/src/decision/entry_agent.h
+++ b/src/decision/entry_agent.h
@@ -14,12 +14,19 @@
 
 namespace egretrack::decision {
 
+// An incarnation that another one replaced.
+struct former_incarnation {
+  incarnation agent_incarnation{};
+  connection_number last{};
+};
+
 // An agent as this entry sees it.
 struct entry_agent {
   std::string name;
   incarnation agent_incarnation{};
   connection_number connection{};
   link_id link{};
+  std::vector<former_incarnation> former;  // The latest ones, oldest first.
   agent_membership life;
   std::string endpoint;
   std::string failure_domain;
--- a/src/decision/tests/entry_core_test.cc
+++ b/src/decision/tests/entry_core_test.cc
@@ -219,6 +219,48 @@
   EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kOutcomeUnknown);
 }
 
+// Guards against "not run" for a task whose first attempt may have run.
+TEST_F(EntryCore, RetryThatNeverStartsStaysUnknown) {
+  driver_.Join(1, 1);
+  const caller_token caller = driver_.Submit(1, std::nullopt, "read");
+  driver_.FromAgent(11, 1, entry_driver::Hello("a1", 99));
+  driver_.Wait(milliseconds(2500));
+  EXPECT_EQ(Dispatches().size(), 1U);
+  EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kOutcomeUnknown);
+}
+
+// Guards against the report of another dispatch or connection being taken for
+// the awaited one.
+TEST_F(EntryCore, MismatchedReportsAreDropped) {
+  driver_.Join(1, 1);
+  const caller_token caller = driver_.Submit(1);
+  wire::dispatch other = Dispatches()[0].message;
+  wire::task_report report;
+  report.job = other.job;
+  report.dispatch = other.number;
+  report.state = task_state::kFailed;
+  driver_.FromAgent(1, 2, report);
+  EXPECT_EQ(driver_.core().counters().stale_frames, 1U);
+  other.number = dispatch_number{7};
+  driver_.Report(1, other, task_state::kFinished);
+  EXPECT_EQ(driver_.core().counters().late_reports, 1U);
+  EXPECT_EQ(driver_.AnswerOf(caller), nullptr);
+}
+
+// Guards against a repeated hello of a replaced incarnation that resets the
+// count of spent credits.
+TEST_F(EntryCore, RepeatedHelloOfFormerIncarnationIsDropped) {
+  driver_.Join(1, 1);
+  driver_.Submit(1);
+  EXPECT_EQ(Dispatches().size(), 1U);
+  driver_.FromAgent(2, 1, entry_driver::Hello("a1", 99));
+  driver_.FromAgent(1, 1, entry_driver::Hello("a1", 1));
+  driver_.FromAgent(1, 1, wire::grant{1});
+  driver_.Submit(1);
+  EXPECT_TRUE(Dispatches().empty());
+  EXPECT_EQ(driver_.core().counters().stale_frames, 2U);
+}
+
 // Guards against messages of a link whose agent is not known.
 TEST_F(EntryCore, FramesBeforeHelloAreDropped) {
   driver_.FromAgent(1, 1, entry_driver::Heartbeat(8));
@@ -283,6 +325,22 @@
   EXPECT_TRUE(Dispatches().empty());
 }
 
+// Guards against a start after the job was answered.
+TEST_F(EntryCore, NoStartAfterTheDeadline) {
+  driver_.Join(1, 1);
+  submission plan{"plan", "", seconds(20), {"p"}};
+  driver_.Handle(submit_request{driver_.NewCaller(), {}, plan, false, ""});
+  const auto sent = Dispatches();
+  EXPECT_EQ(sent[0].message.start_by, driver_.now() + seconds(2));
+  driver_.Submit(1);
+  const monotonic_time deadline = driver_.now() + seconds(2);
+  driver_.Wait(milliseconds(1500));
+  driver_.FromAgent(1, 1, wire::grant{2});
+  const auto late = Dispatches();
+  ASSERT_EQ(late.size(), 1U);
+  EXPECT_EQ(late[0].message.start_by, deadline);
+}
+
 // Guards against a refused task staying lost, or going back to the agent that
 // has a record of it.
 TEST_F(EntryCore, RefusedTaskGoesToAnotherAgent) {
--- a/src/decision/tests/entry_fixture.h
+++ b/src/decision/tests/entry_fixture.h
@@ -117,6 +117,8 @@
     return Take<give_ids>().back().ids.front();
   }
 
+  void Clear() { commands_.clear(); }
+
   // Takes the commands of one type, and leaves the others.
   template <typename Command>
   std::vector<Command> Take() {
