Predict a job's end from the work that goes before it

Cause: admission counted the whole backlog, so one large job with a far deadline kept every urgent request out, and one team's backlog kept the other teams out, although the order serves them first. A keyed request refused at once said "not run" although an earlier request with its key may have run. A drain request for an agent was sent once only.

Change: queues count their tasks by key and team; the forecast takes the team's earlier work and the other teams' turns. A keyed request that is refused before its key was read has an unknown outcome. The drain request is repeated after heartbeats until the agent drains.

Conclusion: a non-urgent backlog no longer refuses urgent work.

--- a/src/decision/admission.cc
+++ b/src/decision/admission.cc
@@ -6,13 +6,16 @@
 namespace egretrack::decision {
 namespace {
 
+double MeanOf(const kind_state& kind) {
+  return static_cast<double>(kind.profile.mean().count());
+}
+
 struct capacity {
-  double slots = 0;           // Of all agents that serve the kind.
-  double in_use = 0;          // By this entry.
-  double queued_work_us = 0;  // Of kinds that share these agents.
+  double slots = 0;   // Of all agents that serve the kind.
+  double in_use = 0;  // By this entry.
 };
 
-capacity Sum(const kind_state& kind) {
+capacity CapacityFor(const kind_state& kind) {
   capacity sum;
   for (const entry_agent* agent : kind.agents) {
     if (!agent->serving() || agent->health.ejected())
@@ -20,31 +23,58 @@
     sum.slots += agent->slots;
     sum.in_use += static_cast<double>(agent->outstanding.size());
   }
+  return sum;
+}
+
+// Queued work before a job, in microseconds of run time.
+struct work_ahead {
+  double own = 0;         // Of the job's team.
+  double others = 0;      // Of other teams.
+  double weights = 0;     // Of all teams that have queued work.
+  double own_weight = 0;  // Zero while the job's team has none.
+};
+
+work_ahead AheadOf(const kind_state& kind, const demand& job) {
+  work_ahead sum;
   for (const kind_state* other : kind.sharing) {
     // Long work holds back short work only where it has slots already.
     if (other != &kind && other->profile.length() == run_class::kLong)
       continue;
-    sum.queued_work_us += static_cast<double>(other->queued_tasks) *
-                          static_cast<double>(other->profile.mean().count());
+    const queue_share share = other->queue.Ahead(job.key, job.team);
+    sum.others += static_cast<double>(share.others) * MeanOf(*other);
+    sum.own += static_cast<double>(share.own) * MeanOf(*other);
+    sum.weights = std::max(sum.weights, static_cast<double>(share.weights));
+    if (share.own_active)
+      sum.own_weight = job.weight;
   }
   return sum;
 }
 
+// Other teams take turns with the job's team by their weights, until their
+// work is done.
+double DelayingWork(const work_ahead& ahead, const demand& job, double work) {
+  const double weight = job.weight;
+  const double weights = ahead.weights - ahead.own_weight + weight;
+  const double turns = (ahead.own + work) * (weights - weight) / weight;
+  return ahead.own + std::min(ahead.others, turns);
+}
+
 }  // namespace
 
 forecast Predict(const kind_state& kind,
-                 std::size_t tasks,
+                 const demand& job,
                  std::size_t entries) {
-  const capacity sum = Sum(kind);
+  const capacity sum = CapacityFor(kind);
   const double part = sum.slots / static_cast<double>(entries);
   const double usable = std::max({1.0, part, sum.in_use});
-  const double rounds =
-      std::ceil(static_cast<double>(tasks) / std::max(1.0, sum.slots));
-  const auto mean = static_cast<double>(kind.profile.mean().count());
+  const auto tasks = static_cast<double>(job.tasks);
+  const double rounds = std::ceil(tasks / std::max(1.0, sum.slots));
+  const double mean = MeanOf(kind);
+  const double delaying = DelayingWork(AheadOf(kind, job), job, tasks * mean);
   forecast result;
   result.alone = microseconds(std::llround(rounds * mean));
   result.at_once = rounds <= 1;
-  result.backlog = microseconds(std::llround(sum.queued_work_us / usable));
+  result.backlog = microseconds(std::llround(delaying / usable));
   return result;
 }
 
--- a/src/decision/entry_agent.h
+++ b/src/decision/entry_agent.h
@@ -32,6 +32,7 @@
   std::string failure_domain;
   std::uint32_t slots = 0;
   bool draining = false;
+  bool drain_requested = false;  // By an operator; until the agent drains.
   std::uint64_t config_version = 0;
   monotonic_time heard{};
   credit_ledger credits;
--- a/src/decision/entry_agents.cc
+++ b/src/decision/entry_agents.cc
@@ -47,6 +47,7 @@
       break;
     case hello_effect::kRestarted:
       bound.agent->credits.Reset();
+      bound.agent->drain_requested = false;
       LoseOutstanding(*bound.agent);
       break;
   }
@@ -111,6 +112,9 @@
     reply.config_document = catalog_.configuration()->document;
   reply.queue_length = QueueLength(agent);
   Send(agent, std::move(reply));
+  // The first request may have been lost with a connection.
+  if (agent.drain_requested && !agent.draining)
+    Send(agent, wire::drain_request{});
 }
 
 void entry_core_impl::OnMessage(entry_agent& agent, wire::grant& message) {
--- a/src/decision/entry_core.cc
+++ b/src/decision/entry_core.cc
@@ -180,11 +180,12 @@
 }
 
 void entry_core_impl::On(drain_agent& event) {
-  const entry_agent* agent = agents_.Find(event.agent);
-  const bool known = agent != nullptr && agent->life.reachable();
-  if (known)
+  entry_agent* agent = agents_.Find(event.agent);
+  if (agent != nullptr) {
+    agent->drain_requested = true;
     Send(*agent, wire::drain_request{});
-  Emit(drain_answer{event.caller, known});
+  }
+  Emit(drain_answer{event.caller, agent != nullptr});
 }
 
 void entry_core_impl::On(status_request& event) {
--- a/src/decision/entry_core_impl.h
+++ b/src/decision/entry_core_impl.h
@@ -8,10 +8,12 @@
 #include <memory>
 #include <random>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+#include "decision/admission.h"
 #include "decision/agent_table.h"
 #include "decision/catalog.h"
 #include "decision/entry_drain_lifecycle.h"
@@ -122,7 +124,10 @@
   refusal CheckSubmission(const submit_request& event);
   refusal CheckContent(const submission& job, const kind_state& kind) const;
   refusal CheckCapacity(const submission& job, kind_state& kind);
-  refusal CheckDeadline(const submission& job, const kind_state& kind) const;
+  refusal CheckDeadline(const kind_state& kind,
+                        const forecast& expected,
+                        microseconds allowed) const;
+  std::string_view QueueName(std::string_view team) const;
   void Refuse(const submit_request& event,
               std::uint64_t content_hash,
               const refusal& reason);
--- a/src/decision/entry_dispatch.cc
+++ b/src/decision/entry_dispatch.cc
@@ -128,6 +128,7 @@
   const task_index index = TakeTask(job, agent);
   kind_state& kind = *job.kind;
   fair_queue::Charge(job);
+  kind.queue.Count(job, -1);
   if (job.queued() == 0)
     kind.queue.Remove(job);
   job.quota->AddQueued(-1);
@@ -178,7 +179,8 @@
   ++job.kind->queued_tasks;
   ++queued_tasks_;
   if (job.queue == nullptr)
-    job.kind->queue.Add(job, ordering_->divides() ? job.team : std::string());
+    job.kind->queue.Add(job, QueueName(job.team));
+  job.kind->queue.Count(job, 1);
   ready_kinds_.push_back(job.kind);
 }
 
--- a/src/decision/entry_settlement.cc
+++ b/src/decision/entry_settlement.cc
@@ -184,6 +184,7 @@
 
 void entry_core_impl::LeaveQueue(entry_job& job) {
   const std::size_t tasks = job.queued();
+  job.kind->queue.Count(job, -static_cast<int>(tasks));
   job.kind->queue.Remove(job);
   job.quota->AddQueued(-static_cast<int>(tasks));
   job.kind->queued_tasks -= tasks;
--- a/src/decision/entry_submission.cc
+++ b/src/decision/entry_submission.cc
@@ -3,7 +3,6 @@
 
 #include <boost/container_hash/hash.hpp>
 
-#include "decision/admission.h"
 #include "decision/entry_core_impl.h"
 
 namespace egretrack::decision {
@@ -177,29 +176,37 @@
     return {job_errc::kDeskClosed, {}};
   if (kind.agents.empty())
     return {job_errc::kNoEndpoint, kRetryWhenNotReady};
+  const microseconds allowed = job.deadline.value_or(kind.object.deadline);
+  const forecast expected =
+      Predict(kind,
+              {tasks, ordering_->Key(now_, now_ + allowed), QueueName(job.team),
+               quota->weight},
+              entries());
   const milliseconds retry = std::max(
-      kRetryWhenNotReady, std::chrono::duration_cast<milliseconds>(
-                              Predict(kind, tasks, entries()).backlog));
+      kRetryWhenNotReady, std::chrono::ceil<milliseconds>(expected.backlog));
   if (jobs_.full())
     return {job_errc::kRecordsFull, retry};
   if (queued_tasks_ + tasks > options_.max_queued_tasks)
     return {job_errc::kOverloaded, retry};
   if (!quota->MayQueue(tasks))
     return {job_errc::kQuotaExceeded, retry};
-  return CheckDeadline(job, kind);
+  return CheckDeadline(kind, expected, allowed);
+}
+
+std::string_view entry_core_impl::QueueName(std::string_view team) const {
+  return ordering_->divides() ? team : std::string_view();
 }
 
 entry_core_impl::refusal entry_core_impl::CheckDeadline(
-    const submission& job,
-    const kind_state& kind) const {
+    const kind_state& kind,
+    const forecast& expected,
+    microseconds allowed) const {
   if (!options_.admission)
     return {};
-  const forecast expected = Predict(kind, job.payloads.size(), entries());
   // The declared or learned run time may be far off. A small job of a kind
   // that nothing runs of goes through, or the estimate could never improve.
   if (expected.at_once && kind.outstanding + kind.queued_tasks == 0)
     return {};
-  const microseconds allowed = job.deadline.value_or(kind.object.deadline);
   if (expected.alone > allowed)
     return {job_errc::kDeadlineUnreachable, {}};
   const microseconds excess = expected.alone + expected.backlog - allowed;
@@ -211,17 +218,22 @@
 void entry_core_impl::Refuse(const submit_request& event,
                              std::uint64_t content_hash,
                              const refusal& reason) {
-  auto answer = MakeAnswer(*event.id, job_outcome::kRefused, reason.code);
+  // An earlier job with the same key may have run; its row was not read.
+  const bool keyed = !event.idempotency_key.empty();
+  const job_outcome outcome =
+      keyed ? job_outcome::kOutcomeUnknown : job_outcome::kRefused;
+  auto answer = MakeAnswer(*event.id, outcome, reason.code);
   answer->retry_after = reason.retry_after;
   const std::size_t tasks = event.job.payloads.size();
-  answer->tasks.assign(tasks, {task_outcome::kNotRun, {}});
+  answer->tasks.assign(
+      tasks, {keyed ? task_outcome::kUnknown : task_outcome::kNotRun, {}});
   const kind_state* kind = catalog_.FindKind(event.job.kind);
   jobs_.AddRefusal(*event.id, {content_hash, answer}, now_);
   Answer(event.caller, std::move(answer));
   job_ended ended;
   ended.desk = kind == nullptr ? std::string() : kind->object.desk;
   ended.kind = kind == nullptr ? std::string() : kind->object.name;
-  ended.outcome = job_outcome::kRefused;
+  ended.outcome = outcome;
   ended.task_count = tasks;
   Emit(std::move(ended));
 }
@@ -234,7 +246,8 @@
   job.quota->AddQueued(static_cast<int>(tasks));
   job.kind->queued_tasks += tasks;
   queued_tasks_ += tasks;
-  job.kind->queue.Add(job, ordering_->divides() ? job.team : std::string());
+  job.kind->queue.Add(job, QueueName(job.team));
+  job.kind->queue.Count(job, static_cast<int>(tasks));
   ready_kinds_.push_back(job.kind);
 }
 
--- a/src/decision/fair_queue.cc
+++ b/src/decision/fair_queue.cc
@@ -15,6 +15,11 @@
   return (*items.begin())->quota;
 }
 
+std::uint32_t WeightOf(const team_queue& team) {
+  const quota_node* quota = QuotaOf(team);
+  return quota == nullptr ? 1 : quota->weight;
+}
+
 queue_item* FirstAccepted(const std::set<queue_item*, queue_order>& items,
                           const placement& place) {
   int tries = 0;
@@ -78,8 +83,7 @@
     // The turn passes on; unused deficit is not saved up.
     team.deficit = 0;
     turn_ = (turn_ + 1) % active_.size();
-    const quota_node* next = QuotaOf(*active_[turn_]);
-    active_[turn_]->deficit = next == nullptr ? 1 : next->weight;
+    active_[turn_]->deficit = WeightOf(*active_[turn_]);
   }
   return nullptr;
 }
@@ -89,6 +93,27 @@
     --item.queue->deficit;
 }
 
+void fair_queue::Count(queue_item& item, int tasks) {
+  if (item.queue == nullptr)
+    return;
+  tasks_ += static_cast<std::size_t>(tasks);
+  item.queue->backlog.Count(item.key, tasks);
+}
+
+queue_share fair_queue::Ahead(monotonic_time key, std::string_view team) const {
+  queue_share share;
+  share.others = tasks_;
+  for (const team_queue* queue : active_)
+    share.weights += WeightOf(*queue);
+  const auto own = teams_.find(team);
+  if (own != teams_.end()) {
+    share.own = own->second.backlog.UpTo(key);
+    share.others -= own->second.backlog.total();
+    share.own_active = own->second.active;
+  }
+  return share;
+}
+
 queue_item* fair_queue::First(team_queue& team,
                               const placement& place,
                               monotonic_time now) {
--- a/src/decision/fair_queue.h
+++ b/src/decision/fair_queue.h
@@ -9,6 +9,7 @@
 #include <string_view>
 #include <vector>
 
+#include "decision/key_backlog.h"
 #include "decision/quota_tree.h"
 #include "egretrack/base/time.h"
 
@@ -35,12 +36,21 @@
 struct team_queue {
   std::set<queue_item*, queue_order> feasible;
   std::set<queue_item*, queue_order> overdue;
+  key_backlog backlog;
   std::uint32_t deficit = 0;  // Tasks that the team may still send this turn.
   bool active = false;
 
   bool empty() const { return feasible.empty() && overdue.empty(); }
 };
 
+// What lies before a new job in one queue.
+struct queue_share {
+  std::size_t own = 0;        // Tasks of its team that go first by their key.
+  std::size_t others = 0;     // Tasks of other teams, which take turns.
+  std::uint32_t weights = 0;  // Of all teams that have queued jobs.
+  bool own_active = false;    // The job's team is one of them.
+};
+
 // Says whether the place that asks for work can take a task of a job.
 class placement {
  public:
@@ -68,6 +78,10 @@
   // One task of `item`, which Next returned, was sent.
   static void Charge(queue_item& item);
 
+  // Notes that an item in the queue gained tasks, or lost some.
+  void Count(queue_item& item, int tasks);
+  queue_share Ahead(monotonic_time key, std::string_view team) const;
+
   bool empty() const { return active_.empty(); }
 
  private:
@@ -77,6 +91,7 @@
 
   std::map<std::string, team_queue, std::less<>> teams_;
   std::vector<team_queue*> active_;
+  std::size_t tasks_ = 0;
   std::size_t turn_ = 0;
 };
 
--- /dev/null
+++ b/src/decision/key_backlog.cc
@@ -0,0 +1,34 @@
+#include "decision/key_backlog.h"
+
+namespace egretrack::decision {
+namespace {
+
+// Keys lie within a few seconds of now, so there are a few dozen steps.
+constexpr microseconds kStep = milliseconds(250);
+
+std::int64_t StepOf(monotonic_time key) {
+  return key.time_since_epoch() / kStep;
+}
+
+}  // namespace
+
+void key_backlog::Count(monotonic_time key, int tasks) {
+  const auto step = tasks_by_step_.try_emplace(StepOf(key), 0).first;
+  step->second += static_cast<std::size_t>(tasks);
+  total_ += static_cast<std::size_t>(tasks);
+  if (step->second == 0)
+    tasks_by_step_.erase(step);
+}
+
+std::size_t key_backlog::UpTo(monotonic_time key) const {
+  const std::int64_t last = StepOf(key);
+  std::size_t tasks = 0;
+  for (const auto& [step, count] : tasks_by_step_) {
+    if (step > last)
+      break;
+    tasks += count;
+  }
+  return tasks;
+}
+
+}  // namespace egretrack::decision
--- /dev/null
+++ b/src/decision/key_backlog.h
@@ -0,0 +1,29 @@
+#ifndef EGRETRACK_DECISION_KEY_BACKLOG_H_
+#define EGRETRACK_DECISION_KEY_BACKLOG_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+
+#include "egretrack/base/time.h"
+
+namespace egretrack::decision {
+
+// Counts queued tasks by the key of their job, in steps of time, so that the
+// tasks ahead of a new job are known without a scan of the queue.
+class key_backlog {
+ public:
+  void Count(monotonic_time key, int tasks);
+
+  // Tasks whose key is in the step of `key` or before it.
+  std::size_t UpTo(monotonic_time key) const;
+  std::size_t total() const { return total_; }
+
+ private:
+  std::map<std::int64_t, std::size_t> tasks_by_step_;
+  std::size_t total_ = 0;
+};
+
+}  // namespace egretrack::decision
+
+#endif  // EGRETRACK_DECISION_KEY_BACKLOG_H_
--- a/src/decision/tests/entry_core_test.cc
+++ b/src/decision/tests/entry_core_test.cc
@@ -437,6 +437,51 @@
   EXPECT_GT(driver_.AnswerOf(last)->retry_after.count(), 0);
 }
 
+// Guards against a large job that is not urgent, or another team's backlog,
+// keeping urgent requests out.
+TEST_F(EntryCore, BacklogThatIsLessUrgentRefusesNobody) {
+  driver_.Join(1, 8);
+  submission slow{"find", "", seconds(30), std::vector<std::string>(600, "p")};
+  driver_.Handle(submit_request{driver_.NewCaller(), {}, slow, false, ""});
+  EXPECT_EQ(driver_.AnswerOf(driver_.Submit(1)), nullptr);
+  entry_driver other;
+  objects::configuration set = MakeConfiguration(1);
+  set.objects.limits = {{"north", "desk", "north", 1, 0, 0, ""},
+                        {"south", "desk", "south", 1, 0, 0, ""}};
+  other.Configure(set);
+  other.Join(1, 0);
+  caller_token last{};
+  for (int i = 0; i < 100; ++i)
+    last = other.Submit(1, std::nullopt, "find", "north");
+  EXPECT_EQ(other.AnswerOf(last)->code, job_errc::kOverloaded);
+  EXPECT_EQ(other.AnswerOf(other.Submit(1, std::nullopt, "find", "south")),
+            nullptr);
+}
+
+// Guards against "not run" for a key whose row was not read.
+TEST_F(EntryCore, RefusedKeyedRequestClaimsNothing) {
+  const caller_token caller =
+      driver_.Submit(1, std::nullopt, "find", "", "order-1");
+  EXPECT_EQ(driver_.AnswerOf(caller)->code, job_errc::kNoEndpoint);
+  EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kOutcomeUnknown);
+}
+
+// Guards against a drain request that is lost with a connection.
+TEST_F(EntryCore, DrainOfAgentIsRepeatedUntilItDrains) {
+  driver_.Join(1, 8);
+  driver_.Handle(drain_agent{driver_.NewCaller(), "a1"});
+  driver_.Handle(drain_agent{driver_.NewCaller(), "a9"});
+  const auto answers = driver_.Take<drain_answer>();
+  EXPECT_TRUE(answers[0].known);
+  EXPECT_FALSE(answers[1].known);
+  wire::heartbeat beat = entry_driver::Heartbeat(8);
+  driver_.FromAgent(1, 1, beat);
+  EXPECT_EQ(driver_.TakeSent<wire::drain_request>().size(), 2U);
+  beat.draining = true;
+  driver_.FromAgent(1, 1, beat);
+  EXPECT_TRUE(driver_.TakeSent<wire::drain_request>().empty());
+}
+
 // Guards against a team that holds more than its quota, or that loses its
 // place when the quota is free again.
 TEST(EntryCoreQuota, BoundsRunningTasksOfTeamAndParent) {
