Refuse truthfully what is dispatched late under an old id

A dispatch for a job older than the retention time got no answer as soon as any record had expired, although a copy that comes before start_by is the first one for its task. Only copies past start_by stay unanswered now.

--- a/src/decision/agent_tasks.cc
+++ b/src/decision/agent_tasks.cc
@@ -70,6 +70,12 @@
   }
   const monotonic_time start_before =
       links_[entry].clock().SurelyBefore(dispatch.job, dispatch.start_by);
+  // A home sends a task to an agent once, so that a copy in time is the first.
+  if (turn.now >= start_before &&
+      MayBeForgotten(entry, dispatch.job, turn.now)) {
+    ++counters_.unrecorded;
+    return;
+  }
   const task_reason reason =
       Objection(dispatch, had_credit, start_before, turn.now);
   if (reason == task_reason::kNone)
@@ -161,7 +167,10 @@
                         const wire::task_query& query) {
   kept_task* kept = records_.Find(query.job, query.task);
   if (kept == nullptr) {
-    RefuseNew(turn, entry, query, task_reason::kFenced);
+    if (MayBeForgotten(entry, query.job, turn.now))
+      ++counters_.unrecorded;
+    else
+      RefuseNew(turn, entry, query, task_reason::kFenced);
     return;
   }
   // The home has waited long enough; it may send the task elsewhere at once.
@@ -177,13 +186,10 @@
                             entry_index entry,
                             const wire::task_query& task,
                             task_reason reason) {
-  // A refusal would be false if the task once ran, and without a record of it
-  // a later copy could start. The home then takes the task for unknown.
-  kept_task* kept =
-      MayBeForgotten(entry, task.job, turn.now)
-          ? nullptr
-          : records_.Add(task.job, task.task, record_use::kRefusal);
+  kept_task* kept = records_.Add(task.job, task.task, record_use::kRefusal);
   if (kept == nullptr) {
+    // Without a record a later copy could start, so that a refusal would not
+    // be final. The home takes the task for unknown at its deadline.
     ++counters_.unrecorded;
     return;
   }
--- a/src/decision/tests/agent_core_test.cc
+++ b/src/decision/tests/agent_core_test.cc
@@ -232,6 +232,9 @@
   agent.Deliver(0, dispatch);
   EXPECT_EQ(agent.Sent<wire::task_report>(0).size(), reports);
   EXPECT_EQ(agent.core->counters().unrecorded, 2U);
+  // A job submitted late with an old id still gets a truthful refusal.
+  agent.Deliver(0, agent.Dispatch(0, 3));
+  EXPECT_EQ(agent.Last<wire::task_report>(0).reason, task_reason::kNoEndpoint);
   // A job that is younger than the retention time cannot have been forgotten.
   auto young = agent.Dispatch(0, 2);
   young.job.created_ms = agent.HomeMs();
