--- a/src/standins/table_standin.cc
+++ b/src/standins/table_standin.cc
@@ -1,10 +1,10 @@
 #include <csignal>
 #include <cstdio>
-#include <fstream>
 #include <string>
 
 #include <CLI/CLI.hpp>
 
+#include "egretrack/base/file.h"
 #include "standins/table_service.h"
 
 namespace egretrack::standins {
@@ -13,13 +13,6 @@
 constexpr int kExitOk = 0;
 constexpr int kExitListenFailed = 3;
 
-// By rename, so that a reader never sees a file without the whole number.
-bool WritePort(const std::string& path, std::uint16_t port) {
-  const std::string temporary = path + ".tmp";
-  std::ofstream(temporary) << port << "\n";
-  return std::rename(temporary.c_str(), path.c_str()) == 0;
-}
-
 int Main(int argc, char** argv) {
   CLI::App app("Stand-in of the platform's table service, in memory");
   std::string port_file;
@@ -40,10 +33,13 @@
     std::fprintf(stderr, "%s\n", service.error().ToString().c_str());
     return kExitListenFailed;
   }
-  const std::uint16_t chosen = (*service)->local_address().port;
-  if (!port_file.empty() && !WritePort(port_file, chosen)) {
-    std::fprintf(stderr, "port file %s can't be written\n", port_file.c_str());
-    return kExitListenFailed;
+  if (!port_file.empty()) {
+    const std::uint16_t chosen = (*service)->local_address().port;
+    const auto written = ReplaceFile(port_file, std::to_string(chosen) + "\n");
+    if (!written) {
+      std::fprintf(stderr, "%s\n", written.error().ToString().c_str());
+      return kExitListenFailed;
+    }
   }
   int signal = 0;
   sigwait(&signals, &signal);
