entry: add the entry role

Adds the HTTP front, the control thread's side of the process and the traffic side that carries out the core's commands.

- control runs core, metrics and burn report on the control thread. outbound encodes and sends on a traffic thread, frames before answers; answers, which may be large, are encoded on a thread of their own.
- agent_link sends one frame per connection and batch, divided beyond 16 MiB so that the agent's limit of 64 MiB can't drop it.

--- /dev/null
+++ b/src/entry/agent_link.cc
@@ -0,0 +1,86 @@
+#include "entry/agent_link.h"
+
+#include <map>
+#include <tuple>
+#include <utility>
+
+#include "egretrack/wire/codec.h"
+
+namespace egretrack::entry {
+namespace {
+
+struct connection_key {
+  decision::link_id link{};
+  connection_number connection{};
+
+  bool operator<(const connection_key& other) const {
+    return std::tie(link, connection) < std::tie(other.link, other.connection);
+  }
+};
+
+// A frame is divided beyond this; the largest payload is 16 MiB, and agents
+// take frames of up to wire::kMaxFrameBytes.
+constexpr std::size_t kMaxContentBytes = wire::kMaxFrameBytes / 4;
+
+struct open_frame {
+  std::vector<wire::entry_message> messages;
+  std::size_t content_bytes = 0;
+};
+
+// The part of a message that may be large.
+std::size_t ContentBytes(const wire::entry_message& message) {
+  if (const auto* const task = std::get_if<wire::dispatch>(&message))
+    return task->payload.size();
+  if (const auto* const reply = std::get_if<wire::heartbeat_reply>(&message))
+    return reply->config_document.size();
+  return 0;
+}
+
+}  // namespace
+
+result<void> agent_link::Bind(const net::tcp_address& address) {
+  auto bound = net::frame_router::Bind(
+      address, [this](net::peer_id peer, std::span<const std::byte> bytes) {
+        OnFrame(peer, bytes);
+      });
+  if (!bound)
+    return bound.error();
+  router_ = std::move(*bound);
+  return {};
+}
+
+void agent_link::Send(std::span<decision::send_to_agent> messages) {
+  std::map<connection_key, open_frame> frames;
+  const auto flush = [this](const connection_key& key, open_frame& frame) {
+    router_->Send(net::peer_id{static_cast<std::uint64_t>(key.link)},
+                  wire::EncodeEntryFrame(key.connection, frame.messages));
+    frame = {};
+  };
+  for (decision::send_to_agent& command : messages) {
+    const connection_key key{command.link, command.connection};
+    open_frame& frame = frames[key];
+    frame.content_bytes += ContentBytes(command.message);
+    frame.messages.push_back(std::move(command.message));
+    if (frame.content_bytes > kMaxContentBytes)
+      flush(key, frame);
+  }
+  for (auto& [key, frame] : frames) {
+    if (!frame.messages.empty())
+      flush(key, frame);
+  }
+}
+
+// Reports must not be lost, and the number of frames is bounded by the work
+// that the agents hold, so the bound of the mailbox is not applied.
+void agent_link::OnFrame(net::peer_id peer, std::span<const std::byte> bytes) {
+  auto frame = wire::DecodeAgentFrame(bytes);
+  if (!frame) {
+    ++malformed_frames_;
+    return;
+  }
+  const decision::link_id link{static_cast<std::uint64_t>(peer)};
+  events_.PushRequired(decision::entry_event(
+      decision::agent_frame_received{link, std::move(*frame)}));
+}
+
+}  // namespace egretrack::entry
--- /dev/null
+++ b/src/entry/agent_link.h
@@ -0,0 +1,44 @@
+#ifndef EGRETRACK_ENTRY_AGENT_LINK_H_
+#define EGRETRACK_ENTRY_AGENT_LINK_H_
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <span>
+#include <vector>
+
+#include "egretrack/base/result.h"
+#include "egretrack/decision/entry_core.h"
+#include "egretrack/net/frame_link.h"
+#include "entry/control_event.h"
+
+namespace egretrack::entry {
+
+// The frames between this entry and its agents.
+class agent_link {
+ public:
+  explicit agent_link(control_mailbox& events) : events_(events) {}
+
+  // Errors: those of the system.
+  result<void> Bind(const net::tcp_address& address);
+  net::tcp_address local_address() const { return router_->local_address(); }
+
+  // Sends the messages; those to one connection travel in one frame.
+  void Send(std::span<decision::send_to_agent> messages);
+
+  // Frames that could not be decoded, since the start.
+  std::uint64_t malformed_frames() const { return malformed_frames_; }
+
+ private:
+  void OnFrame(net::peer_id peer, std::span<const std::byte> bytes);
+
+  control_mailbox& events_;
+  std::atomic<std::uint64_t> malformed_frames_ = 0;
+  // Last, so that its thread ends first.
+  std::unique_ptr<net::frame_router> router_;
+};
+
+}  // namespace egretrack::entry
+
+#endif  // EGRETRACK_ENTRY_AGENT_LINK_H_
--- /dev/null
+++ b/src/entry/config_watch.cc
@@ -0,0 +1,131 @@
+#include "entry/config_watch.h"
+
+#include <utility>
+
+#include "egretrack/objects/check.h"
+
+namespace egretrack::entry {
+namespace {
+
+constexpr milliseconds kPeerTimeout{1000};
+constexpr unsigned kOk = 200;
+
+}  // namespace
+
+config_watch::config_watch(worker& thread,
+                           store::table_client& table,
+                           net::http_client& http,
+                           std::vector<net::tcp_address> peers,
+                           milliseconds interval,
+                           on_adopted adopted)
+    : thread_(thread),
+      table_(table),
+      http_(http),
+      peers_(std::move(peers)),
+      interval_(interval),
+      adopted_(std::move(adopted)) {}
+
+void config_watch::Start() {
+  thread_.Post([this] { Poll(); });
+}
+
+void config_watch::Offer(std::uint64_t version, std::string document) {
+  thread_.Post([this, version, document = std::move(document)] {
+    Adopt(version, document);
+  });
+}
+
+objects::configuration_ptr config_watch::current() const {
+  const std::lock_guard lock(mutex_);
+  return current_;
+}
+
+std::uint64_t config_watch::version() const {
+  const auto held = current();
+  return held ? held->version : 0;
+}
+
+void config_watch::Poll() {
+  table_.Read(
+      kConfigTable, kVersionKey,
+      [this](result<std::optional<store::row>> found) {
+        thread_.Post([this, found = std::move(found)] { OnVersionRow(found); });
+      });
+}
+
+void config_watch::PollLater() {
+  thread_.PostAfter(interval_, [this] { Poll(); });
+}
+
+void config_watch::OnVersionRow(
+    const result<std::optional<store::row>>& found) {
+  if (!found)
+    return AskPeer();
+  if (!*found)
+    return PollLater();
+  const auto record = DecodeRecord((*found)->value);
+  if (!record) {
+    log_.Warn("The version row is not readable.");
+    return PollLater();
+  }
+  if (record->version <= version())
+    return PollLater();
+  ReadDocument(record->version);
+}
+
+void config_watch::ReadDocument(std::uint64_t version) {
+  table_.Read(kHistoryTable, HistoryKey(version),
+              [this](result<std::optional<store::row>> found) {
+                thread_.Post(
+                    [this, found = std::move(found)] { OnDocumentRow(found); });
+              });
+}
+
+void config_watch::OnDocumentRow(
+    const result<std::optional<store::row>>& found) {
+  if (found && *found)
+    AdoptRecord((*found)->value);
+  PollLater();
+}
+
+void config_watch::AskPeer() {
+  if (peers_.empty())
+    return PollLater();
+  const net::tcp_address& peer = peers_[next_peer_++ % peers_.size()];
+  http_.Call(
+      peer, {"GET", "/v1/config", {}, {}}, kPeerTimeout,
+      [this](net::http_reply reply) {
+        thread_.Post([this, reply = std::move(reply)] { OnPeerReply(reply); });
+      });
+}
+
+void config_watch::OnPeerReply(const net::http_reply& reply) {
+  if (reply.ok && reply.response.status == kOk)
+    AdoptRecord(reply.response.body);
+  PollLater();
+}
+
+void config_watch::AdoptRecord(std::string_view text) {
+  const auto record = DecodeRecord(text);
+  if (!record)
+    return log_.Warn("A configuration record is not readable.");
+  Adopt(record->version, record->document);
+}
+
+void config_watch::Adopt(std::uint64_t version, std::string_view document) {
+  if (version <= this->version())
+    return;
+  auto loaded = objects::LoadConfiguration(version, document);
+  if (!loaded) {
+    return log_.Warn("Version " + std::to_string(version) +
+                     " is not valid: " + loaded.error().ToString() + ".");
+  }
+  {
+    const std::lock_guard lock(mutex_);
+    current_ = *loaded;
+  }
+  log_.Info("Version " + std::to_string(version) + " is in force.");
+  adopted_(std::move(*loaded));
+}
+
+}  // namespace egretrack::entry
--- /dev/null
+++ b/src/entry/control.cc
@@ -0,0 +1,143 @@
+#include "entry/control.h"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace egretrack::entry {
+namespace {
+
+// The wait for the next event must fit the clock's range; the core may ask for
+// the end of time.
+constexpr seconds kMaxWait{60};
+
+using counter = std::uint64_t decision::entry_counters::*;
+
+struct counter_name {
+  std::string_view name;
+  counter value;
+};
+
+constexpr std::array kCounters = {
+    counter_name{"egretrack_jobs_submitted_total",
+                 &decision::entry_counters::jobs_submitted},
+    counter_name{"egretrack_jobs_resubmitted_total",
+                 &decision::entry_counters::jobs_resubmitted},
+    counter_name{"egretrack_dispatches_total",
+                 &decision::entry_counters::dispatches},
+    counter_name{"egretrack_reports_total", &decision::entry_counters::reports},
+    counter_name{"egretrack_redispatches_total",
+                 &decision::entry_counters::redispatches},
+    counter_name{"egretrack_late_reports_total",
+                 &decision::entry_counters::late_reports},
+    counter_name{"egretrack_stale_frames_total",
+                 &decision::entry_counters::stale_frames},
+    counter_name{"egretrack_queries_total", &decision::entry_counters::queries},
+    counter_name{"egretrack_credit_messages_total",
+                 &decision::entry_counters::credit_messages},
+    counter_name{"egretrack_retries_total", &decision::entry_counters::retries},
+    counter_name{"egretrack_ejections_total",
+                 &decision::entry_counters::ejections},
+};
+
+}  // namespace
+
+control::control(std::unique_ptr<decision::entry_core> core,
+                 std::function<std::uint64_t()> malformed_frames,
+                 std::atomic<bool>& ready,
+                 on_output output)
+    : core_(std::move(core)),
+      metrics_(telemetry::metrics::Create()),
+      burn_(telemetry::burn_meter::Create()),
+      malformed_frames_(std::move(malformed_frames)),
+      ready_(ready),
+      output_(std::move(output)) {}
+
+monotonic_time control::HandleBatch(std::span<control_event> batch,
+                                    monotonic_time now) {
+  for (control_event& event : batch)
+    std::visit([this, now](auto& alternative) { On(alternative, now); }, event);
+  const monotonic_time wake = core_->Advance(now, WallNow(), pending_.commands);
+  ready_ = core_->ready();
+  TakeEndedJobs(now);
+  if (!pending_.commands.empty() || !pending_.reports.empty())
+    output_(std::exchange(pending_, {}));
+  return std::min<monotonic_time>(wake, now + kMaxWait);
+}
+
+void control::On(decision::entry_event& event, monotonic_time now) {
+  NoteObjectives(event);
+  core_->Handle(std::move(event), now, WallNow(), pending_.commands);
+}
+
+void control::On(report_request& event, monotonic_time now) {
+  struct report {
+    std::string_view content_type;
+    std::string (control::*make)(monotonic_time now);
+  };
+  // In the order of report_kind.
+  static constexpr std::array kReports = {
+      report{"text/plain; version=0.0.4", &control::MakeMetrics},
+      report{"application/json", &control::MakeBurnJson},
+      report{"text/plain; charset=utf-8", &control::MakeBurnText},
+      report{"image/svg+xml", &control::MakeBurnSvg},
+  };
+  const report& wanted = kReports[static_cast<std::size_t>(event.kind)];
+  pending_.reports.push_back({event.caller, std::string(wanted.content_type),
+                              (this->*wanted.make)(now)});
+}
+
+void control::NoteObjectives(const decision::entry_event& event) {
+  const auto* const received =
+      std::get_if<decision::configuration_received>(&event);
+  if (received == nullptr)
+    return;
+  for (const objects::desk& desk : received->configuration->objects.desks)
+    burn_->SetObjective(desk.name, desk.objective);
+}
+
+// Ended jobs concern the telemetry only; the traffic side needs none of them.
+void control::TakeEndedJobs(monotonic_time now) {
+  std::erase_if(pending_.commands, [this, now](const auto& command) {
+    const auto* const ended = std::get_if<decision::job_ended>(&command);
+    if (ended != nullptr)
+      NoteEnded(*ended, now);
+    return ended != nullptr;
+  });
+}
+
+void control::NoteEnded(const decision::job_ended& ended, monotonic_time now) {
+  // A refusal of an unknown kind belongs to no desk.
+  if (ended.desk.empty())
+    return;
+  burn_->Record(ended.desk, ended.on_time, now);
+  if (ended.outcome != decision::job_outcome::kAnswered)
+    return;
+  const std::chrono::duration<double> response = ended.response;
+  metrics_->Observe("egretrack_response_seconds", "kind=\"" + ended.kind + "\"",
+                    response.count());
+}
+
+std::string control::MakeMetrics(monotonic_time /*now*/) {
+  const decision::entry_counters& counters = core_->counters();
+  for (const counter_name& entry : kCounters)
+    metrics_->SetCounter(entry.name, "", counters.*entry.value);
+  metrics_->SetCounter("egretrack_malformed_frames_total", "",
+                       malformed_frames_());
+  metrics_->SetGauge("egretrack_ready", "", core_->ready() ? 1 : 0);
+  return metrics_->ToText();
+}
+
+std::string control::MakeBurnJson(monotonic_time now) {
+  return telemetry::ToJson(burn_->Report(now));
+}
+
+std::string control::MakeBurnText(monotonic_time now) {
+  return telemetry::ToText(burn_->Report(now));
+}
+
+std::string control::MakeBurnSvg(monotonic_time now) {
+  return telemetry::ToSvg(burn_->Report(now));
+}
+
+}  // namespace egretrack::entry
--- /dev/null
+++ b/src/entry/control.h
@@ -0,0 +1,71 @@
+#ifndef EGRETRACK_ENTRY_CONTROL_H_
+#define EGRETRACK_ENTRY_CONTROL_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <span>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "egretrack/decision/entry_core.h"
+#include "egretrack/telemetry/burn.h"
+#include "egretrack/telemetry/metrics.h"
+#include "entry/control_event.h"
+
+namespace egretrack::entry {
+
+// A finished report on its way to the caller.
+struct report_reply {
+  decision::caller_token caller{};
+  std::string content_type;
+  std::string body;
+};
+
+// What the control thread hands to the traffic side after one batch.
+struct control_output {
+  std::vector<decision::entry_command> commands;
+  std::vector<report_reply> reports;
+};
+
+// What the control thread runs: the core, the metrics and the burn report. All
+// but the constructor is called on that thread.
+class control {
+ public:
+  using on_output = std::function<void(control_output)>;
+
+  // `ready` is updated after each batch. `malformed_frames` is read for the
+  // metrics.
+  control(std::unique_ptr<decision::entry_core> core,
+          std::function<std::uint64_t()> malformed_frames,
+          std::atomic<bool>& ready,
+          on_output output);
+
+  // Handler of the control loop.
+  monotonic_time HandleBatch(std::span<control_event> batch,
+                             monotonic_time now);
+
+ private:
+  void On(decision::entry_event& event, monotonic_time now);
+  void On(report_request& event, monotonic_time now);
+  void NoteObjectives(const decision::entry_event& event);
+  void TakeEndedJobs(monotonic_time now);
+  void NoteEnded(const decision::job_ended& ended, monotonic_time now);
+  std::string MakeMetrics(monotonic_time now);
+  std::string MakeBurnJson(monotonic_time now);
+  std::string MakeBurnText(monotonic_time now);
+  std::string MakeBurnSvg(monotonic_time now);
+
+  const std::unique_ptr<decision::entry_core> core_;
+  const std::unique_ptr<telemetry::metrics> metrics_;
+  const std::unique_ptr<telemetry::burn_meter> burn_;
+  const std::function<std::uint64_t()> malformed_frames_;
+  std::atomic<bool>& ready_;
+  const on_output output_;
+  control_output pending_;
+};
+
+}  // namespace egretrack::entry
+
+#endif  // EGRETRACK_ENTRY_CONTROL_H_
--- /dev/null
+++ b/src/entry/entry_wiring.h
@@ -0,0 +1,31 @@
+#ifndef EGRETRACK_ENTRY_ENTRY_WIRING_H_
+#define EGRETRACK_ENTRY_ENTRY_WIRING_H_
+
+#include <vector>
+
+#include "egretrack/base/result.h"
+#include "egretrack/decision/entry_core.h"
+#include "egretrack/net/http.h"
+#include "egretrack/settings/settings.h"
+#include "entry/forwarder.h"
+
+namespace egretrack::entry {
+
+struct entry_addresses {
+  net::tcp_address http;
+  net::tcp_address agents;
+  net::tcp_address table;
+  peer_addresses peers;
+};
+
+// Errors: errc::kInvalidArgument.
+result<entry_addresses> ParseAddresses(const settings::entry_settings& from);
+
+std::vector<net::tcp_address> PeerList(const peer_addresses& peers);
+
+decision::entry_options MakeCoreOptions(const settings::entry_settings& from,
+                                        incarnation own);
+
+}  // namespace egretrack::entry
+
+#endif  // EGRETRACK_ENTRY_ENTRY_WIRING_H_
--- /dev/null
+++ b/src/entry/outbound.h
@@ -0,0 +1,62 @@
+#ifndef EGRETRACK_ENTRY_OUTBOUND_H_
+#define EGRETRACK_ENTRY_OUTBOUND_H_
+
+#include <functional>
+#include <span>
+#include <vector>
+
+#include "entry/agent_link.h"
+#include "entry/callers.h"
+#include "entry/config_watch.h"
+#include "entry/control.h"
+#include "entry/forwarder.h"
+#include "entry/key_binder.h"
+
+namespace egretrack::entry {
+
+// Carries out the commands of the core: encodes and sends. Runs on one traffic
+// thread, so that messages keep their order; answers, which may be large, are
+// encoded on another, so that no dispatch waits behind them.
+class outbound {
+ public:
+  struct parts {
+    worker& answer_thread;
+    callers& waiting;
+    agent_link& agents;
+    forwarder& homes;
+    key_binder& keys;
+    config_watch& configuration;
+    std::function<void()> drain_finished;
+  };
+
+  explicit outbound(parts targets) : parts_(std::move(targets)) {}
+
+  void Perform(control_output output);
+
+ private:
+  void On(decision::send_to_agent& command);
+  void On(decision::job_accepted& command);
+  void On(decision::answer_caller& command);
+  void On(decision::give_ids& command);
+  void On(decision::forward_to_home& command);
+  void On(decision::bind_key& command);
+  void On(decision::drain_answer& command);
+  void On(decision::give_status& command);
+  void On(decision::job_ended& command);
+  void On(decision::configuration_offered& command);
+  void On(decision::drain_finished& command);
+  void Respond(decision::caller_token caller, std::string body);
+
+  static void RespondAll(callers& waiting,
+                         std::span<const decision::answer_caller> answers,
+                         std::span<report_reply> reports);
+
+  const parts parts_;
+  // Of the current batch.
+  std::vector<decision::send_to_agent> frames_;
+  std::vector<decision::answer_caller> answers_;
+};
+
+}  // namespace egretrack::entry
+
+#endif  // EGRETRACK_ENTRY_OUTBOUND_H_
--- /dev/null
+++ b/src/entry/tests/recorded_exchange.h
@@ -0,0 +1,42 @@
+#ifndef EGRETRACK_ENTRY_TESTS_RECORDED_EXCHANGE_H_
+#define EGRETRACK_ENTRY_TESTS_RECORDED_EXCHANGE_H_
+
+#include <functional>
+#include <future>
+#include <utility>
+#include <vector>
+
+#include "egretrack/net/http.h"
+
+namespace egretrack::entry {
+
+// A request without a connection, whose response a test waits for.
+class recorded_exchange final : public net::http_exchange {
+ public:
+  recorded_exchange() = default;
+  explicit recorded_exchange(net::http_request request)
+      : request_(std::move(request)) {}
+
+  const net::http_request& request() const override { return request_; }
+  void Inform(unsigned /*status*/,
+              std::vector<net::header> /*headers*/) override {}
+  void Respond(net::http_response response) override {
+    response_.set_value(std::move(response));
+  }
+  void Abort() override {}
+  void OnClosed(std::function<void()> callback) override {
+    on_closed_ = std::move(callback);
+  }
+
+  net::http_response Wait() { return response_.get_future().get(); }
+  void Close() { on_closed_(); }
+
+ private:
+  const net::http_request request_;
+  std::promise<net::http_response> response_;
+  std::function<void()> on_closed_;
+};
+
+}  // namespace egretrack::entry
+
+#endif  // EGRETRACK_ENTRY_TESTS_RECORDED_EXCHANGE_H_
--- /dev/null
+++ b/src/entry/worker.cc
@@ -0,0 +1,47 @@
+#include "entry/worker.h"
+
+#include <thread>
+#include <utility>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace egretrack::entry {
+
+struct worker::impl {
+  impl() : work(context.get_executor()), thread([this] { context.run(); }) {}
+
+  boost::asio::io_context context{1};
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+  std::thread thread;
+};
+
+worker::worker() : impl_(std::make_unique<impl>()) {}
+
+worker::~worker() {
+  Stop();
+}
+
+void worker::Post(task work) {
+  boost::asio::post(impl_->context, std::move(work));
+}
+
+void worker::PostAfter(milliseconds delay, task work) {
+  const auto timer =
+      std::make_shared<boost::asio::steady_timer>(impl_->context, delay);
+  timer->async_wait([timer, work = std::move(work)](
+                        const boost::system::error_code& failure) {
+    if (!failure)
+      work();
+  });
+}
+
+void worker::Stop() {
+  impl_->context.stop();
+  if (impl_->thread.joinable())
+    impl_->thread.join();
+}
+
+}  // namespace egretrack::entry
--- /dev/null
+++ b/src/entry/worker.h
@@ -0,0 +1,36 @@
+#ifndef EGRETRACK_ENTRY_WORKER_H_
+#define EGRETRACK_ENTRY_WORKER_H_
+
+#include <functional>
+#include <memory>
+
+#include "egretrack/base/time.h"
+
+namespace egretrack::entry {
+
+// One traffic thread that runs tasks in the order in which they were posted.
+// State that only its tasks touch needs no lock.
+class worker {
+ public:
+  using task = std::function<void()>;
+
+  worker();
+  ~worker();
+  worker(const worker&) = delete;
+  worker& operator=(const worker&) = delete;
+
+  // Safe from any thread. Tasks that are posted after Stop() never run.
+  void Post(task work);
+  void PostAfter(milliseconds delay, task work);
+
+  // Runs no further task; returns when the running one has ended.
+  void Stop();
+
+ private:
+  struct impl;
+  std::unique_ptr<impl> impl_;
+};
+
+}  // namespace egretrack::entry
+
+#endif  // EGRETRACK_ENTRY_WORKER_H_
