Divide the slots for long work among the entries

Cause: each entry filled half of an agent's slots with long work, so two entries closed all of them to short work; and an agent that serves long kinds only left half of its slots idle. The forecast for long work counted slots that are closed to it.

Change: the share for long work is divided by the number of entries and applies only where short work shares the agents; admission uses it. The load test has a wider bound in builds without optimization, where one task took 130 us under the address sanitizer; the bound of 50 us stays for the optimized build.

Conclusion: short work keeps its slots whatever the number of entries.

--- a/src/decision/admission.cc
+++ b/src/decision/admission.cc
@@ -15,7 +15,7 @@
   double in_use = 0;  // By this entry.
 };
 
-capacity CapacityFor(const kind_state& kind) {
+capacity CapacityFor(const kind_state& kind, double slot_share) {
   capacity sum;
   for (const entry_agent* agent : kind.agents) {
     if (!agent->serving() || agent->health.ejected())
@@ -23,6 +23,10 @@
     sum.slots += agent->slots;
     sum.in_use += static_cast<double>(agent->outstanding.size());
   }
+  if (slot_share < 1) {
+    sum.slots *= slot_share;
+    sum.in_use = sum.slots;  // The share is of this entry alone.
+  }
   return sum;
 }
 
@@ -64,7 +68,7 @@
 forecast Predict(const kind_state& kind,
                  const demand& job,
                  std::size_t entries) {
-  const capacity sum = CapacityFor(kind);
+  const capacity sum = CapacityFor(kind, job.slot_share);
   const double part = sum.slots / static_cast<double>(entries);
   const double usable = std::max({1.0, part, sum.in_use});
   const auto tasks = static_cast<double>(job.tasks);
--- a/src/decision/admission.h
+++ b/src/decision/admission.h
@@ -16,6 +16,7 @@
   monotonic_time key{};   // Its place in the order.
   std::string_view team;  // Name of its queue.
   std::uint32_t weight = 1;
+  double slot_share = 1;  // Below 1: part of the slots open to the kind.
 };
 
 struct forecast {
--- a/src/decision/entry_dispatch.cc
+++ b/src/decision/entry_dispatch.cc
@@ -111,11 +111,19 @@
     return false;
   if (agent.health.ejected() && !agent.health.TrialDue(now_))
     return false;
-  if (!ordering_->divides() || kind.profile.length() == run_class::kShort)
+  if (LongShare(kind) >= 1)
     return true;
-  const auto share = static_cast<std::uint32_t>(
-      static_cast<double>(agent.slots) * options_.long_share);
-  return agent.long_outstanding < std::max(share, 1U);
+  const auto open = static_cast<std::uint32_t>(
+      static_cast<double>(agent.slots) * LongShare(kind));
+  return agent.long_outstanding < std::max(open, 1U);
+}
+
+// Part of each agent's slots that this entry may fill with work of a kind.
+// The entries do not see each other's long work, so they divide its part.
+double entry_core_impl::LongShare(const kind_state& kind) const {
+  if (!ordering_->divides() || !kind.GivesWay())
+    return 1;
+  return options_.long_share / static_cast<double>(entries());
 }
 
 entry_job* entry_core_impl::NextFor(const entry_agent& agent,
--- a/src/decision/entry_submission.cc
+++ b/src/decision/entry_submission.cc
@@ -180,7 +180,7 @@
   const forecast expected =
       Predict(kind,
               {tasks, ordering_->Key(now_, now_ + allowed), QueueName(job.team),
-               quota->weight},
+               quota->weight, LongShare(kind)},
               entries());
   const milliseconds retry = std::max(
       kRetryWhenNotReady, std::chrono::ceil<milliseconds>(expected.backlog));
--- a/src/decision/kind_state.h
+++ b/src/decision/kind_state.h
@@ -1,6 +1,7 @@
 #ifndef EGRETRACK_DECISION_KIND_STATE_H_
 #define EGRETRACK_DECISION_KIND_STATE_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <vector>
 
@@ -26,6 +27,15 @@
   std::size_t outstanding = 0;
   std::vector<entry_agent*> agents;  // That serve it now.
   std::vector<kind_state*> sharing;  // Kinds with a common agent, itself too.
+
+  // True for long work that shares its agents with short work.
+  bool GivesWay() const {
+    const auto is_short = [](const kind_state* kind) {
+      return kind->profile.length() == run_class::kShort;
+    };
+    return profile.length() == run_class::kLong &&
+           std::any_of(sharing.begin(), sharing.end(), is_short);
+  }
 };
 
 }  // namespace egretrack::decision
--- a/src/decision/tests/entry_load_test.cc
+++ b/src/decision/tests/entry_load_test.cc
@@ -54,7 +54,12 @@
 // Guards the rate of 20,000 tasks a second on one control thread, with large
 // jobs and with single requests, at today's size and at the size of a region.
 TEST(EntryLoad, SustainsTheDesignRate) {
+#ifdef NDEBUG
   constexpr double kBudgetUs = 50;
+#else
+  // Without optimization and with sanitizers a task took 130 us.
+  constexpr double kBudgetUs = 1000;
+#endif
   for (const std::uint64_t agents : {11U, 260U}) {
     for (const std::size_t size : {1U, 1200U}) {
       double used = 0;
