Let the fake agents of the entry tests ignore cancellations

Cause: an empty handler for job_cancel repeated the general one.

Change: the general handler covers it; a comment in job_lifecycle.h names the states of its machine.

Conclusion: no change in behaviour.

--- a/src/decision/job_lifecycle.h
+++ b/src/decision/job_lifecycle.h
@@ -6,7 +6,7 @@
 
 namespace egretrack::decision {
 
-// In the order of the regions of the state machine in job_lifecycle.cc.
+// In the order of the states of the machine in job_lifecycle.cc.
 enum class job_phase : std::uint8_t {
   kNew,
   kBinding,  // Waits for its idempotency key; nothing is queued.
--- a/src/decision/tests/entry_world.cc
+++ b/src/decision/tests/entry_world.cc
@@ -315,10 +315,6 @@
   Report(at, key, message.dispatch);
 }
 
-void entry_world::Receive(agent& /*at*/, const wire::job_cancel& /*message*/) {
-  // Every task that these agents hold has started.
-}
-
 void entry_world::Receive(agent& at, const wire::job_lookup& message) {
   wire::job_records answer{message.lookup, message.job, {}};
   for (const auto& [key, known] : at.records) {
--- a/src/decision/tests/entry_world.h
+++ b/src/decision/tests/entry_world.h
@@ -101,9 +101,9 @@
   void Report(agent& from, const task_key& key, dispatch_number number);
   void Receive(agent& at, const wire::dispatch& message);
   void Receive(agent& at, const wire::task_query& message);
-  void Receive(agent& at, const wire::job_cancel& message);
   void Receive(agent& at, const wire::job_lookup& message);
   void Receive(agent& at, const wire::release& message);
+  // These agents queue nothing, so a cancellation finds nothing to refuse.
   template <typename Other>
   void Receive(agent& /*at*/, const Other& /*message*/) {}
 
