Match kinds that share agents once per endpoint

Cause: every hello made the entry compare all kinds of an agent pairwise, for each of its agents; with 48 kinds and 1,800 agents a hello took 8 to 16 ms. Change: the pairs are formed once for each endpoint object that has an agent. Conclusion: an entry that restarts greets all agents of the design size within a second.

--- a/src/decision/catalog.cc
+++ b/src/decision/catalog.cc
@@ -56,6 +56,8 @@
     kind->sharing.clear();
     kind->open = false;
   }
+  for (auto& [name, endpoint] : endpoints_)
+    endpoint.has_agent = false;
   if (configuration_ != nullptr)
     OpenAt(wall);
   agents.ForEach([this](entry_agent& agent) { MatchAgent(agent); });
@@ -67,9 +69,18 @@
   if (endpoint == endpoints_.end() || !endpoint->second.open || agent.draining)
     return;
   agent.kinds = endpoint->second.kinds;
-  for (kind_state* kind : agent.kinds) {
+  for (kind_state* kind : agent.kinds)
     kind->agents.push_back(&agent);
-    for (kind_state* other : agent.kinds) {
+  Share(endpoint->second);
+}
+
+// All agents of an endpoint share the same kinds, so that the first one says
+// it for all: 48 kinds for each of 1,800 agents took 8 ms.
+void catalog::Share(endpoint_kinds& endpoint) {
+  if (std::exchange(endpoint.has_agent, true))
+    return;
+  for (kind_state* kind : endpoint.kinds) {
+    for (kind_state* other : endpoint.kinds) {
       auto& sharing = kind->sharing;
       if (std::find(sharing.begin(), sharing.end(), other) == sharing.end())
         sharing.push_back(other);
--- a/src/decision/catalog.h
+++ b/src/decision/catalog.h
@@ -49,12 +49,14 @@
   struct endpoint_kinds {
     std::vector<kind_state*> kinds;
     bool open = true;
+    bool has_agent = false;  // Found by the Match() that runs.
   };
 
   void AdoptKinds();
   void AdoptEndpoints();
   void OpenAt(wall_time wall);
   void MatchAgent(entry_agent& agent);
+  static void Share(endpoint_kinds& endpoint);
 
   objects::configuration_ptr configuration_;
   std::map<std::string, std::unique_ptr<kind_state>, std::less<>> kinds_;
--- a/src/decision/tests/entry_load_test.cc
+++ b/src/decision/tests/entry_load_test.cc
@@ -83,5 +83,29 @@
   EXPECT_LT(many, 5 * few + 5);
 }
 
+// Guards against matching all kinds pairwise for each agent: after a restart an
+// entry that hears from all 1,800 agents at once was busy for half a minute.
+TEST(EntryLoad, GreetsAllAgentsWithinASecond) {
+  entry_driver driver(MakeOptions());
+  objects::configuration set = MakeConfiguration(1);
+  for (int i = 0; i < 47; ++i) {
+    objects::request_kind kind = set.objects.kinds[0];
+    kind.name += "-" + std::to_string(i);
+    set.objects.endpoints[0].kinds.push_back(kind.name);
+    set.objects.kinds.push_back(kind);
+  }
+  driver.Configure(set);
+  const std::clock_t start = std::clock();
+  for (std::uint64_t agent = 1; agent <= 1800; ++agent)
+    driver.Join(agent, 8);
+  const double used =
+      static_cast<double>(std::clock() - start) / CLOCKS_PER_SEC;
+#ifdef NDEBUG
+  EXPECT_LT(used, 1.0);
+#else
+  EXPECT_LT(used, 10.0);  // Without optimization.
+#endif
+}
+
 }  // namespace
 }  // namespace egretrack::decision
