Offer the loads that the targets are stated for

Cause: steady load came as jobs of 1 to 8 tasks of about 100 ms, and the crest lasted one second; the targets are for jobs of 10 to 200 tasks of 50 ms to 1 s and for a crest of four times the demand for ten seconds. Change: the workloads have shapes for short and long work with ranges of tasks and run times; cancellations come in waves. The load test of the crest is now stated for the crest and for the time around it.

--- a/src/standins/tests/ideal_schedule_test.cc
+++ b/src/standins/tests/ideal_schedule_test.cc
@@ -55,21 +55,43 @@
   }
 }
 
+// Work in seconds that arrives from `begin` to `end`, as a share of 100 slots.
+double OfferedLoad(const std::vector<arrival>& arrivals,
+                   seconds begin,
+                   seconds end) {
+  double work_ms = 0;
+  for (const auto& job : arrivals) {
+    if (job.at < begin || job.at >= end)
+      continue;
+    for (const auto run_time : job.run_times)
+      work_ms += static_cast<double>(run_time.count());
+  }
+  return work_ms / 1000 / static_cast<double>((end - begin).count()) / 100;
+}
+
 // Guards against an offered load that is not the one in the table.
 TEST(WorkloadTest, OffersTheWantedLoad) {
-  for (const char* name : {"steady", "crest", "stragglers", "mixed"}) {
+  for (const char* name : {"steady", "stragglers", "mixed", "failing-worker",
+                           "wrong-declarations", "cancellations"}) {
     const workload_options options{
-        .load = 0.8, .capacity = 100, .duration = seconds(400), .seed = 3};
+        .load = 0.8, .capacity = 100, .duration = seconds(4000), .seed = 3};
     const auto arrivals = MakeWorkload(name, options);
     ASSERT_TRUE(arrivals.has_value());
-    double work_ms = 0;
-    for (const auto& job : *arrivals) {
-      for (const auto run_time : job.run_times)
-        work_ms += static_cast<double>(run_time.count());
-    }
-    EXPECT_NEAR(work_ms / 1000 / 400, 80, 8) << name;
+    EXPECT_NEAR(OfferedLoad(*arrivals, seconds(0), seconds(4000)), 0.8, 0.08)
+        << name;
   }
 }
 
+// Guards against a crest that is lower or shorter than the table says.
+TEST(WorkloadTest, CrestIsFourTimesTheLoad) {
+  const workload_options options{
+      .load = 0.4, .capacity = 1000, .duration = seconds(20), .seed = 3};
+  const auto arrivals = MakeWorkload("crest", options);
+  ASSERT_TRUE(arrivals.has_value());
+  EXPECT_NEAR(OfferedLoad(*arrivals, seconds(0), seconds(5)), 4.0, 0.4);
+  EXPECT_NEAR(OfferedLoad(*arrivals, seconds(5), seconds(15)), 16.0, 1.6);
+  EXPECT_NEAR(OfferedLoad(*arrivals, seconds(15), seconds(20)), 4.0, 0.4);
+}
+
 }  // namespace
 }  // namespace egretrack::standins
--- a/src/standins/workload.cc
+++ b/src/standins/workload.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <numbers>
 
 namespace egretrack::standins {
 namespace {
@@ -30,48 +29,97 @@
 
   double Exponential(double mean) { return -std::log(Share()) * mean; }
 
-  double Normal() {
-    return std::sqrt(-2 * std::log(Share())) *
-           std::cos(2 * std::numbers::pi * Share());
-  }
-
   std::uint64_t Below(std::uint64_t bound) { return Next() % bound; }
 
  private:
   std::uint64_t state_;
 };
 
+// What the jobs of one kind look like.
+struct job_shape {
+  std::uint64_t min_tasks = 1;
+  std::uint64_t max_tasks = 1;
+  double min_ms = 50;  // Run times are log-uniform.
+  double max_ms = 1000;
+  milliseconds deadline{2000};
+
+  double MeanTasks() const {
+    return static_cast<double>(min_tasks + max_tasks) / 2;
+  }
+  double MeanMs() const {
+    return (max_ms - min_ms) / std::log(max_ms / min_ms);
+  }
+  double MeanWorkMs() const { return MeanTasks() * MeanMs(); }
+};
+
 // What one workload draws its jobs from.
 struct workload_shape {
   std::string_view name;
-  double short_ms = 100;  // Median of the run time.
-  double long_ms = 0;
+  job_shape short_work;
+  job_shape long_work = {};
   double long_share = 0;       // Of the jobs.
   double straggler_share = 0;  // Of the tasks; they run longer by the factor.
   double straggler_factor = 20;
-  double cancelled_share = 0;  // Of the jobs.
-  double crest_factor = 1;     // Arrival rate at the crest to that between.
+  double crest_factor = 1;     // Arrival rate at the crest to that before it.
+  double cancelled_share = 0;  // Of the recent jobs, in each wave.
 };
 
+constexpr job_shape kSmallJobs = {.max_tasks = 20,
+                                  .max_ms = 500,
+                                  .deadline = milliseconds(3000)};
+
 constexpr std::array<workload_shape, 7> kShapes = {{
-    {.name = "steady"},
-    {.name = "crest", .crest_factor = 6},
-    {.name = "stragglers", .straggler_share = 0.01},
-    {.name = "mixed", .short_ms = 60, .long_ms = 2000, .long_share = 0.05},
-    {.name = "failing-worker"},
-    {.name = "wrong-declarations", .long_ms = 1000, .long_share = 0.05},
-    {.name = "cancellations", .cancelled_share = 0.3},
+    {.name = "steady",
+     .short_work = {.min_tasks = 10,
+                    .max_tasks = 200,
+                    .deadline = milliseconds(8000)}},
+    {.name = "crest", .short_work = kSmallJobs, .crest_factor = 4},
+    {.name = "stragglers",
+     .short_work = {.max_tasks = 20, .deadline = milliseconds(30000)},
+     .straggler_share = 0.05},
+    // Single requests next to checks that take seconds; half of the work each.
+    {.name = "mixed",
+     .short_work = {.max_ms = 100, .deadline = milliseconds(1000)},
+     .long_work = {.min_tasks = 10,
+                   .max_tasks = 40,
+                   .min_ms = 2000,
+                   .max_ms = 5000,
+                   .deadline = milliseconds(30000)},
+     .long_share = 0.0009},
+    {.name = "failing-worker", .short_work = {.max_tasks = 10, .max_ms = 500}},
+    {.name = "wrong-declarations",
+     .short_work = {.max_tasks = 10,
+                    .max_ms = 200,
+                    .deadline = milliseconds(3000)},
+     .long_work = {.min_tasks = 10,
+                   .max_tasks = 40,
+                   .min_ms = 1000,
+                   .max_ms = 2000,
+                   .deadline = milliseconds(30000)},
+     .long_share = 0.02},
+    {.name = "cancellations",
+     .short_work = {.min_tasks = 10,
+                    .max_tasks = 50,
+                    .deadline = milliseconds(8000)},
+     .cancelled_share = 0.5},
 }};
 
-constexpr double kSpread = 0.4;  // Of the logarithm of run times.
-constexpr std::uint64_t kMaxTasks = 8;
-constexpr double kMeanTasks = (1.0 + kMaxTasks) / 2;
-constexpr milliseconds kShortDeadline{2000};
-constexpr milliseconds kLongDeadline{20000};
-constexpr double kCancelMeanMs = 150;
-// A crest takes the first quarter of every period.
-constexpr double kCrestPeriodSeconds = 4;
-constexpr double kCrestShare = 0.25;
+// A crest begins after the first quarter of a period and takes half of it.
+constexpr double kPeriodSeconds = 20;
+constexpr double kCrestBegin = 5;
+constexpr double kCrestEnd = 15;
+// A wave cancels jobs of the last two seconds, at the end of every five.
+constexpr double kWavePeriodSeconds = 5;
+constexpr double kWaveReachSeconds = 2;
+
+bool IsCrest(double time) {
+  const double phase = std::fmod(time, kPeriodSeconds);
+  return phase >= kCrestBegin && phase < kCrestEnd;
+}
+
+microseconds ToTime(double at_seconds) {
+  return microseconds(static_cast<std::int64_t>(at_seconds * 1e6));
+}
 
 class generator {
  public:
@@ -88,45 +136,44 @@
   }
 
  private:
-  // Jobs per second at this time; its mean offers the wanted load.
+  // Jobs per second at this time; between crests it offers the wanted load.
   double Rate(double time) const {
-    const double log_normal_mean = std::exp(kSpread * kSpread / 2);
-    const double median = shape_.short_ms * (1 - shape_.long_share) +
-                          shape_.long_ms * shape_.long_share;
     const double stretch =
         1 + shape_.straggler_share * (shape_.straggler_factor - 1);
-    const double job_seconds =
-        median * log_normal_mean * stretch * kMeanTasks / 1000;
-    const double mean_rate = options_.load * options_.capacity / job_seconds;
-    const double mean_factor =
-        shape_.crest_factor * kCrestShare + (1 - kCrestShare);
-    const bool crest = std::fmod(time, kCrestPeriodSeconds) <
-                       kCrestPeriodSeconds * kCrestShare;
-    return mean_rate * (crest ? shape_.crest_factor : 1) / mean_factor;
+    const double job_ms =
+        shape_.short_work.MeanWorkMs() * (1 - shape_.long_share) +
+        shape_.long_work.MeanWorkMs() * shape_.long_share;
+    const double rate =
+        options_.load * options_.capacity * 1000 / (job_ms * stretch);
+    return rate * (IsCrest(time) ? shape_.crest_factor : 1);
   }
 
   arrival MakeJob(double time) {
     const bool is_long = random_.Share() <= shape_.long_share;
+    const job_shape& shape = is_long ? shape_.long_work : shape_.short_work;
     arrival job;
-    job.at = microseconds(static_cast<std::int64_t>(time * 1e6));
+    job.at = ToTime(time);
     job.kind = is_long ? kLongKind : kShortKind;
-    job.deadline = is_long ? kLongDeadline : kShortDeadline;
-    const std::uint64_t tasks = 1 + random_.Below(kMaxTasks);
+    job.deadline = shape.deadline;
+    const std::uint64_t tasks =
+        shape.min_tasks + random_.Below(shape.max_tasks - shape.min_tasks + 1);
     for (std::uint64_t i = 0; i < tasks; ++i)
-      job.run_times.push_back(
-          MakeRunTime(is_long ? shape_.long_ms : shape_.short_ms));
-    if (random_.Share() <= shape_.cancelled_share) {
-      job.cancel_at = job.at + microseconds(static_cast<std::int64_t>(
-                                   random_.Exponential(kCancelMeanMs) * 1000));
+      job.run_times.push_back(MakeRunTime(shape));
+    const double wave =
+        (std::floor(time / kWavePeriodSeconds) + 1) * kWavePeriodSeconds;
+    if (wave - time <= kWaveReachSeconds &&
+        random_.Share() <= shape_.cancelled_share) {
+      job.cancel_at = ToTime(wave);
     }
     return job;
   }
 
-  milliseconds MakeRunTime(double median) {
-    double time = median * std::exp(kSpread * random_.Normal());
+  milliseconds MakeRunTime(const job_shape& shape) {
+    double time =
+        shape.min_ms * std::pow(shape.max_ms / shape.min_ms, random_.Share());
     if (random_.Share() <= shape_.straggler_share)
       time *= shape_.straggler_factor;
-    return milliseconds(std::max<std::int64_t>(std::llround(time), 1));
+    return milliseconds(std::llround(time));
   }
 
   const workload_shape& shape_;
--- a/src/standins/workload.h
+++ b/src/standins/workload.h
@@ -26,7 +26,8 @@
 };
 
 struct workload_options {
-  double load = 0.8;      // Offered work as a share of `capacity`.
+  // Offered work as a share of `capacity`; at a crest a multiple of it.
+  double load = 0.8;
   double capacity = 100;  // Slots, each weighted with its speed.
   seconds duration{10};
   std::uint64_t seed = 1;
