--- a/src/decision/entry_dispatch.cc
+++ b/src/decision/entry_dispatch.cc
@@ -111,11 +111,19 @@
     return false;
   if (agent.health.ejected() && !agent.health.TrialDue(now_))
     return false;
-  if (!ordering_->divides() || kind.profile.length() == run_class::kShort)
+  if (LongShare(kind) >= 1)
     return true;
-  const auto share = static_cast<std::uint32_t>(
-      static_cast<double>(agent.slots) * options_.long_share);
-  return agent.long_outstanding < std::max(share, 1U);
+  const auto open = static_cast<std::uint32_t>(
+      static_cast<double>(agent.slots) * LongShare(kind));
+  return agent.long_outstanding < std::max(open, 1U);
+}
+
+// Part of each agent's slots that this entry may fill with work of a kind.
+// The entries do not see each other's long work, so they divide its part.
+double entry_core_impl::LongShare(const kind_state& kind) const {
+  if (!ordering_->divides() || !kind.GivesWay())
+    return 1;
+  return options_.long_share / static_cast<double>(entries());
 }
 
 entry_job* entry_core_impl::NextFor(const entry_agent& agent,
@@ -128,6 +136,7 @@
   const task_index index = TakeTask(job, agent);
   kind_state& kind = *job.kind;
   fair_queue::Charge(job);
+  kind.queue.Count(job, -1);
   if (job.queued() == 0)
     kind.queue.Remove(job);
   job.quota->AddQueued(-1);
@@ -178,7 +187,8 @@
   ++job.kind->queued_tasks;
   ++queued_tasks_;
   if (job.queue == nullptr)
-    job.kind->queue.Add(job, ordering_->divides() ? job.team : std::string());
+    job.kind->queue.Add(job, QueueName(job.team));
+  job.kind->queue.Count(job, 1);
   ready_kinds_.push_back(job.kind);
 }
 
