Let the control thread wait when nothing is due

Cause: a wait until monotonic_time::max() overflowed inside the standard library and returned at once, so that the thread would spin. Change: one wait is bounded to an hour. Conclusion: no thread spins while it waits.

--- a/src/base/tests/mailbox_test.cc
+++ b/src/base/tests/mailbox_test.cc
@@ -1,5 +1,6 @@
 #include "egretrack/base/mailbox.h"
 
+#include <future>
 #include <memory>
 #include <thread>
 
@@ -40,6 +41,19 @@
   EXPECT_FALSE(events.WaitBatch(batch, monotonic_time::max()));
 }
 
+// Guards against a control thread that spins when nothing is due: a wait until
+// the end of time overflowed and returned at once.
+TEST(Mailbox, WaitsWithoutADeadline) {
+  mailbox<int> events(4);
+  std::vector<int> batch;
+  auto waiter = std::async(std::launch::async, [&] {
+    return events.WaitBatch(batch, monotonic_time::max());
+  });
+  EXPECT_EQ(waiter.wait_for(milliseconds(50)), std::future_status::timeout);
+  events.Close();
+  EXPECT_FALSE(waiter.get());
+}
+
 // Guards against a waiting control thread that a new event does not wake.
 TEST(Mailbox, PushWakesWaiter) {
   mailbox<int> events(4);
--- a/src/include/egretrack/base/mailbox.h
+++ b/src/include/egretrack/base/mailbox.h
@@ -1,6 +1,7 @@
 #ifndef EGRETRACK_BASE_MAILBOX_H_
 #define EGRETRACK_BASE_MAILBOX_H_
 
+#include <algorithm>
 #include <condition_variable>
 #include <cstddef>
 #include <mutex>
@@ -34,7 +35,8 @@
   bool WaitBatch(std::vector<Event>& batch, monotonic_time deadline) {
     batch.clear();
     std::unique_lock lock(mutex_);
-    const auto wait = deadline - monotonic_clock::now();
+    const auto wait = std::min<microseconds>(
+        deadline - monotonic_clock::now(), kLongestWait);
     if (wait.count() > 0) {
       ready_.wait_for(lock, wait,
                       [this] { return closed_ || !events_.empty(); });
@@ -50,6 +52,10 @@
   }
 
  private:
+  // The standard library adds the wait to the present time, which overflows
+  // for monotonic_time::max().
+  static constexpr microseconds kLongestWait = std::chrono::hours(1);
+
   bool Push(Event& event, std::size_t limit) {
     const std::lock_guard lock(mutex_);
     if (closed_ || events_.size() >= limit)
