Send a refused task to the same agent again when there is no other

Change: the entry leaves out an agent that refused a task for 250 ms; a dispatch with a higher number than the refused one replaces the record. Expiries carry the number, so that the one of the refusal does not remove the later record. Conclusion: a home learns of a refusal before it raises the number, so a copy of the refused dispatch still starts nothing.

--- a/src/decision/agent_tasks.cc
+++ b/src/decision/agent_tasks.cc
@@ -11,6 +11,13 @@
 using wire::task_reason;
 using wire::task_state;
 
+// A home sends a refused task with a higher number only once it knows of the
+// refusal; copies of the refused dispatch have the old number.
+bool IsSentAnew(const wire::dispatch& dispatch, const kept_task& kept) {
+  return kept.cycle.phase() == task_phase::kRefused &&
+         dispatch.number > kept.dispatch;
+}
+
 // What entries are told of each phase; nothing while a task is new or held.
 std::optional<task_state> StateOf(task_phase phase) {
   static constexpr std::array<std::optional<task_state>, 7> kStates{
@@ -63,15 +70,17 @@
   ++counters_.dispatches;
   const bool had_credit = lender_.Spend(entry);
   lender_.SetDemand(entry, dispatch.queue_length);
-  if (const kept_task* kept = records_.Find(dispatch.job, dispatch.task)) {
+  const kept_task* kept = records_.Find(dispatch.job, dispatch.task);
+  if (kept != nullptr && !IsSentAnew(dispatch, *kept)) {
     ++counters_.duplicates;
     Report(turn, entry, dispatch.number, dispatch.job, dispatch.task, *kept);
     return;
   }
   const monotonic_time start_before =
       links_[entry].clock().SurelyBefore(dispatch.job, dispatch.start_by);
-  // A home sends a task to an agent once, so that a copy in time is the first.
-  if (turn.now >= start_before &&
+  // A home sends a task again only after a refusal, so that a copy in time is
+  // the first.
+  if (kept == nullptr && turn.now >= start_before &&
       MayBeForgotten(entry, dispatch.job, turn.now)) {
     ++counters_.unrecorded;
     return;
--- a/src/decision/entry_agents.cc
+++ b/src/decision/entry_agents.cc
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr std::uint32_t kMaxSlots = 4096;  // More is taken for a fault.
+// Other agents get a refused task first. Where there is none, the one that
+// refused it gets it again; one heartbeat interval keeps that rare.
+constexpr microseconds kRefusalPause = milliseconds(250);
 
 }  // namespace
 
@@ -167,7 +170,8 @@
   entry_agent& agent = *job.tasks[task].holder;
   const bool trial = job.tasks[task].trial;
   TakeBack(job, task);
-  job.tasks[task].excluded.push_back(agent.agent_incarnation);
+  job.tasks[task].excluded.push_back(
+      {agent.agent_incarnation, now_ + kRefusalPause});
   if (report.reason == wire::task_reason::kEndpointRefused)
     JudgeFailure(agent, *job.kind, report.run_time, trial);
   else if (trial)
@@ -210,7 +214,9 @@
   entry_agent& agent = *job.tasks[task].holder;
   const bool trial = job.tasks[task].trial;
   TakeBack(job, task);
-  job.tasks[task].excluded.push_back(agent.agent_incarnation);
+  // Its record keeps it from starting the task again.
+  job.tasks[task].excluded.push_back(
+      {agent.agent_incarnation, monotonic_time::max()});
   JudgeFailure(agent, *job.kind, report.run_time, trial);
   if (MayRetry(job))
     SettleUnknown(job, task);
--- a/src/decision/entry_dispatch.cc
+++ b/src/decision/entry_dispatch.cc
@@ -10,35 +10,43 @@
 
 // Position in job.returned of a task that the agent may start, or npos.
 constexpr std::size_t kNone = static_cast<std::size_t>(-1);
-std::size_t FindReturned(const entry_job& job, const entry_agent& agent) {
+std::size_t FindReturned(const entry_job& job,
+                         const entry_agent& agent,
+                         monotonic_time now) {
+  const auto excludes = [&agent, now](const exclusion& each) {
+    return each.agent_incarnation == agent.agent_incarnation &&
+           now < each.until;
+  };
   for (std::size_t i = 0; i < job.returned.size(); ++i) {
     const auto& excluded = job.tasks[job.returned[i]].excluded;
-    if (std::find(excluded.begin(), excluded.end(), agent.agent_incarnation) ==
-        excluded.end()) {
+    if (std::none_of(excluded.begin(), excluded.end(), excludes))
       return i;
-    }
   }
   return kNone;
 }
 
 class agent_placement final : public placement {
  public:
-  explicit agent_placement(const entry_agent& agent) : agent_(agent) {}
+  agent_placement(const entry_agent& agent, monotonic_time now)
+      : agent_(agent), now_(now) {}
 
   bool Accepts(const queue_item& item) const override {
     const auto& job = static_cast<const entry_job&>(item);
     return job.next_fresh < job.tasks.size() ||
-           FindReturned(job, agent_) != kNone;
+           FindReturned(job, agent_, now_) != kNone;
   }
 
  private:
   const entry_agent& agent_;
+  const monotonic_time now_;
 };
 
 // Takes a task out of the job's queued ones. Refused tasks go first, since
 // they have waited longest.
-task_index TakeTask(entry_job& job, const entry_agent& agent) {
-  const std::size_t position = FindReturned(job, agent);
+task_index TakeTask(entry_job& job,
+                    const entry_agent& agent,
+                    monotonic_time now) {
+  const std::size_t position = FindReturned(job, agent, now);
   if (position == kNone)
     return static_cast<task_index>(job.next_fresh++);
   const task_index task = job.returned[position];
@@ -128,12 +136,12 @@
 
 entry_job* entry_core_impl::NextFor(const entry_agent& agent,
                                     kind_state& kind) {
-  const agent_placement place(agent);
+  const agent_placement place(agent, now_);
   return static_cast<entry_job*>(kind.queue.Next(place, now_, quota_blocked_));
 }
 
 void entry_core_impl::Dispatch(entry_job& job, entry_agent& agent) {
-  const task_index index = TakeTask(job, agent);
+  const task_index index = TakeTask(job, agent, now_);
   kind_state& kind = *job.kind;
   fair_queue::Charge(job);
   kind.queue.Count(job, -1);
--- a/src/decision/entry_job.h
+++ b/src/decision/entry_job.h
@@ -19,6 +19,12 @@
 
 enum class task_phase : std::uint8_t { kQueued, kOutstanding, kSettled };
 
+// An agent that a task is not sent to for now.
+struct exclusion {
+  incarnation agent_incarnation{};
+  monotonic_time until{};
+};
+
 struct entry_task {
   task_phase phase = task_phase::kQueued;
   task_outcome outcome = task_outcome::kPending;
@@ -29,8 +35,7 @@
   entry_agent* holder = nullptr;  // While outstanding.
   std::size_t holder_slot = 0;    // Position in the holder's list.
   monotonic_time sent{};
-  // Agents that hold a record of the task; they never start it again.
-  std::vector<incarnation> excluded;
+  std::vector<exclusion> excluded;
   std::string payload;
   std::string result;
 };
--- a/src/decision/task_records.cc
+++ b/src/decision/task_records.cc
@@ -1,6 +1,7 @@
 #include "decision/task_records.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace egretrack::decision {
 namespace {
@@ -30,6 +31,10 @@
 kept_task* task_records::Add(const job_id& job,
                              task_index task,
                              record_use use) {
+  if (kept_task* refused = Find(job, task)) {
+    *refused = kept_task{};
+    return refused;
+  }
   const std::size_t extra = use == record_use::kRefusal ? reserve_ : 0;
   if (size_ >= max_records_ + extra)
     return nullptr;
@@ -40,7 +45,8 @@
 void task_records::CloseTask(const job_id& job,
                              task_index task,
                              monotonic_time now) {
-  expiries_.push_back({now + retention_, job, task});
+  const dispatch_number dispatch = Find(job, task)->dispatch;
+  expiries_.push_back({now + retention_, job, closed_task{task, dispatch}});
 }
 
 void task_records::Cancel(const job_id& job, monotonic_time now) {
@@ -65,15 +71,23 @@
 
 void task_records::Forget(const expiry& due) {
   const auto found = jobs_.find(due.job);
-  job_node& node = found->second;
-  if (due.task)
-    node.tasks.erase(*due.task);
-  else
-    node.cancelled = false;
+  if (found == jobs_.end() || !Erase(found->second, due))
+    return;
   --size_;
   has_forgotten_ = true;
-  if (node.tasks.empty() && !node.cancelled)
+  if (found->second.tasks.empty() && !found->second.cancelled)
     jobs_.erase(found);
 }
 
+// False when the record that this was the expiry of is gone.
+bool task_records::Erase(job_node& node, const expiry& due) {
+  if (!due.task)
+    return std::exchange(node.cancelled, false);
+  const auto kept = node.tasks.find(due.task->task);
+  if (kept == node.tasks.end() || kept->second.dispatch != due.task->dispatch)
+    return false;
+  node.tasks.erase(kept);
+  return true;
+}
+
 }  // namespace egretrack::decision
--- a/src/decision/task_records.h
+++ b/src/decision/task_records.h
@@ -48,8 +48,8 @@
   kept_task* Find(const job_id& job, task_index task);
   job_tasks& TasksOf(const job_id& job);
 
-  // Adds a record that does not exist yet; nullptr when there is no room.
-  // Refusals may use a reserve beyond the bound.
+  // Adds a record, or a fresh one in place of a refusal; nullptr when there is
+  // no room. Refusals may use a reserve beyond the bound.
   kept_task* Add(const job_id& job, task_index task, record_use use);
 
   // Starts the retention time of a record that will not change any more.
@@ -69,13 +69,18 @@
     job_tasks tasks;
     bool cancelled = false;
   };
+  struct closed_task {
+    task_index task = 0;
+    dispatch_number dispatch{};  // Another one: the record was replaced.
+  };
   struct expiry {
     monotonic_time when{};
     job_id job;
-    std::optional<task_index> task;  // Absent: the cancellation of the job.
+    std::optional<closed_task> task;  // Absent: the cancellation of the job.
   };
 
   void Forget(const expiry& due);
+  static bool Erase(job_node& node, const expiry& due);
 
   const std::size_t max_records_;
   const std::size_t reserve_;
--- a/src/decision/tests/agent_core_test.cc
+++ b/src/decision/tests/agent_core_test.cc
@@ -53,6 +53,34 @@
   EXPECT_EQ(Starts(), 0U);
 }
 
+// Guards against a refused task that its only agent never takes again, and
+// against a late copy of the refused dispatch that starts it a second time.
+TEST_F(AgentCore, RefusedTaskSentAnewStartsOnce) {
+  auto dispatch = agent.Dispatch(0, 1);
+  agent.Deliver(0, wire::task_query{dispatch.job, 0, 10, dispatch_number{1}});
+  const auto first = dispatch;
+  dispatch.number = dispatch_number{2};
+  agent.Deliver(0, dispatch);
+  EXPECT_EQ(Starts(), 1U);
+  agent.Deliver(0, first);
+  agent.Deliver(0, dispatch);
+  agent.End(dispatch.job);
+  agent.Deliver(0, first);
+  EXPECT_EQ(agent.Last<wire::task_report>(0).state, task_state::kFinished);
+  EXPECT_EQ(Starts(), 1U);
+}
+
+// Guards against the expiry of a refusal that takes the record of the later
+// start with it.
+TEST_F(AgentCore, ExpiryOfARefusalKeepsTheLaterStart) {
+  auto dispatch = agent.Dispatch(0, 1);
+  agent.Deliver(0, wire::task_query{dispatch.job, 0, 10, dispatch_number{1}});
+  dispatch.number = dispatch_number{2};
+  agent.Deliver(0, dispatch);
+  agent.Pass(agent_driver::Options().retention + seconds(1));
+  EXPECT_EQ(agent.Report().records, 1U);
+}
+
 // Guards against a lookup by another entry that fences off the home's work.
 TEST_F(AgentCore, LookupWritesNothing) {
   const auto dispatch = agent.Dispatch(0, 1);
--- a/src/decision/tests/entry_core_test.cc
+++ b/src/decision/tests/entry_core_test.cc
@@ -84,6 +84,23 @@
   EXPECT_TRUE(Dispatches().empty());
 }
 
+// Guards against a task that is never sent again because the only agent of its
+// kind refused it once.
+TEST_F(EntryCore, OnlyAgentGetsRefusedTaskAgainAfterAPause) {
+  driver_.Join(1, 2);
+  const caller_token caller = driver_.Submit(1);
+  driver_.Report(1, Dispatches()[0].message, task_state::kRefused);
+  EXPECT_TRUE(Dispatches().empty());
+  driver_.Wait(milliseconds(250));
+  driver_.FromAgent(1, 1, entry_driver::Heartbeat(2));
+  const auto again = Dispatches();
+  ASSERT_EQ(again.size(), 1U);
+  EXPECT_EQ(again[0].message.number, dispatch_number{2});
+  driver_.Report(1, again[0].message, task_state::kFinished);
+  ASSERT_NE(driver_.AnswerOf(caller), nullptr);
+  EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kAnswered);
+}
+
 // Guards against "refused" for a job of which a part ran.
 TEST_F(EntryCore, PartlyRunJobFails) {
   driver_.Join(1, 1);
