Report processor time and memory of each daemon

Cause: capacity figures and operators need the cost of a process. Change: /metrics has the processor time of all threads and the resident bytes. Conclusion: the cost per task and per agent can be measured on real processes.

--- a/src/agent/agent_control.cc
+++ b/src/agent/agent_control.cc
@@ -6,6 +6,7 @@
 
 #include "agent/agent_http.h"
 #include "egretrack/base/event_table.h"
+#include "egretrack/telemetry/process_usage.h"
 
 namespace egretrack::agent {
 
@@ -82,6 +83,7 @@
   set("egretrack_agent_credit_messages_total", counters.credit_messages);
   set("egretrack_agent_malformed_frames_total", traffic_.malformed_frames);
   set("egretrack_agent_dropped_frames_total", traffic_.dropped_frames);
+  telemetry::SetProcessUsage(*metrics_);
   exchange->Respond({200,
                      {{"Content-Type", "text/plain; version=0.0.4"}},
                      metrics_->ToText()});
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -4,6 +4,8 @@
 #include <array>
 #include <utility>
 
+#include "egretrack/telemetry/process_usage.h"
+
 namespace egretrack::entry {
 namespace {
 
@@ -125,6 +127,7 @@
   metrics_->SetCounter("egretrack_malformed_frames_total", "",
                        malformed_frames_());
   metrics_->SetGauge("egretrack_ready", "", core_->ready() ? 1 : 0);
+  telemetry::SetProcessUsage(*metrics_);
   return metrics_->ToText();
 }
 
--- /dev/null
+++ b/src/telemetry/tests/process_usage_test.cc
@@ -0,0 +1,22 @@
+#include "egretrack/telemetry/process_usage.h"
+
+#include <gtest/gtest.h>
+
+namespace egretrack::telemetry {
+namespace {
+
+// Guards against a unit or a field that is read wrongly: a process that has
+// just worked shows its work, and no process fits into 100 KB.
+TEST(ProcessUsage, ShowsWorkDone) {
+  const process_usage before = ReadProcessUsage();
+  volatile std::uint64_t sum = 0;
+  for (std::uint64_t i = 0; i < 50000000; ++i)
+    sum = sum + i;
+  const process_usage after = ReadProcessUsage();
+  EXPECT_GT(after.processor_time, before.processor_time);
+  EXPECT_LT(after.processor_time, seconds(600));
+  EXPECT_GT(after.resident_bytes, 100000U);
+}
+
+}  // namespace
+}  // namespace egretrack::telemetry
