egretrackctl: agree with the entry, and test it against one

Cause: egretrackctl had only met scripted answers.

Change: publish and diff take the 503 `not_ready` of an entry without a configuration as version 0. An entry that status does not reach is `{"address", "error"}` in JSON. The runner keeps the error output of a program apart, for the new verb `ctl`.

--- a/src/egretrackctl/commands/configuration_commands.cc
+++ b/src/egretrackctl/commands/configuration_commands.cc
@@ -18,7 +18,8 @@
 
 namespace json = boost::json;
 
-constexpr unsigned kStatusNotFound = 404;
+constexpr unsigned kStatusUnavailable = 503;
+constexpr std::int64_t kMaxVersions = 1000;
 
 constexpr std::array<json_column, 5> kChangeColumns{{
     {"CHANGE", "change"},
@@ -28,13 +29,6 @@
     {"AFTER", "after"},
 }};
 
-constexpr std::array<json_column, 4> kHistoryColumns{{
-    {"VERSION", "version"},
-    {"PUBLISHED", "published"},
-    {"PUBLICATION", "publication"},
-    {"OBJECTS", "objects"},
-}};
-
 // Indexed by change_kind.
 constexpr std::array kChangeNames{"added", "removed", "changed"};
 
@@ -47,7 +41,9 @@
   for (const auto& fault : faults) {
     list.push_back({{"object", fault.object},
                     {"key", fault.key},
-                    {"reason", fault.reason}});
+                    {"code", fault.code.message()},
+                    {"reason", fault.reason},
+                    {"text", fault.ToString()}});
   }
   return list;
 }
@@ -86,6 +82,7 @@
                          json::value{{"valid", false},
                                      {"faults", FaultsToJson(outcome.faults)}})
                   << '\n';
+    return std::nullopt;
   }
   for (const auto& fault : outcome.faults)
     session.err() << path << ": " << fault.ToString() << '\n';
@@ -93,10 +90,20 @@
 }
 
 struct published {
-  std::uint64_t version = 0;  // 0: nothing is published yet.
+  std::uint64_t version = 0;  // 0: the entry has no configuration in force.
   std::string document;
 };
 
+// An entry without a configuration is either the first one, or has not learned
+// the published version yet. Version 0 is safe in both cases: a publication on
+// top of it conflicts when there is a version.
+bool HasNoConfiguration(const net::http_response& response) {
+  if (response.status != kStatusUnavailable)
+    return false;
+  const auto body = ParseJson(response.body);
+  return body && TextAt(*body, "error") == "not_ready";
+}
+
 // Reads the published configuration. Without one, `code` says why.
 std::optional<published> ReadPublished(const session& session,
                                        exit_code& code) {
@@ -105,7 +112,7 @@
     code = session.ReportNoAnswer(reply, true);
     return std::nullopt;
   }
-  if (reply.response->status == kStatusNotFound)
+  if (HasNoConfiguration(*reply.response))
     return published{};
   code = CodeOf(reply);
   if (code != exit_code::kOk) {
@@ -159,8 +166,8 @@
   void Declare(CLI::App& app) override {
     DeclareFile(app, path_);
     app.add_option("--base", base_,
-                   "Version that the file replaces; the published one when "
-                   "absent");
+                   "Version that the file replaces; the one in force at the "
+                   "entry when absent, 0 when it has none");
   }
 
   exit_code Run(const session& session) override {
@@ -209,7 +216,7 @@
     if (code != exit_code::kOk || !body) {
       session.ReportError(reply);
       if (code == exit_code::kConflict && body && !session.options().json)
-        MakeTable(kChangeColumns, ArrayAt(*body, "diff")).Print(session.err());
+        ReportConflict(session, *body);
       return code;
     }
     if (session.options().json)
@@ -220,6 +227,18 @@
     return code;
   }
 
+  // What lies between the published set and the file.
+  static void ReportConflict(const session& session, const json::value& body) {
+    const std::string version = TextAt(body, "version");
+    if (version == "0")
+      session.err() << "Nothing is published yet.\n";
+    else
+      session.err() << "Version " << version << " is published.\n";
+    const json::array& changes = ArrayAt(body, "changes");
+    if (!changes.empty())
+      MakeTable(kChangeColumns, changes).Print(session.err());
+  }
+
   std::string path_;
   std::optional<std::uint64_t> base_;
 };
@@ -240,12 +259,12 @@
     const auto changes = ChangesToJson(objects::Diff(before, file->objects));
     if (session.options().json) {
       session.out() << json::serialize(json::value{
-                           {"version", current->version}, {"diff", changes}})
+                           {"version", current->version}, {"changes", changes}})
                     << '\n';
       return exit_code::kOk;
     }
-    session.out() << changes.size() << " changes against version "
-                  << current->version << ".\n";
+    session.out() << "Changes against version " << current->version << ": "
+                  << changes.size() << '\n';
     if (!changes.empty())
       MakeTable(kChangeColumns, changes).Print(session.out());
     return exit_code::kOk;
@@ -257,11 +276,18 @@
 
 class history_command final : public command {
  public:
-  void Declare(CLI::App& /*app*/) override {}
+  void Declare(CLI::App& app) override {
+    auto* const version = app.add_option("--version", version_,
+                                         "Print the document of this version");
+    app.add_option("--after", after_, "List the versions after this one")
+        ->excludes(version);
+    app.add_option("--limit", limit_, "List at most this many versions")
+        ->check(CLI::Range(std::int64_t{1}, kMaxVersions))
+        ->excludes(version);
+  }
 
   exit_code Run(const session& session) override {
-    const entry_reply reply =
-        session.Ask(MakeRequest("GET", "/v1/config/history"));
+    const entry_reply reply = session.Ask(MakeRequest("GET", Target()));
     if (!reply.response)
       return session.ReportNoAnswer(reply, true);
     const exit_code code = CodeOf(reply);
@@ -270,11 +296,38 @@
       return session.ReportError(reply);
     if (session.options().json)
       session.out() << reply.response->body << '\n';
+    else if (version_)
+      session.out() << TextAt(*body, "document");
     else
-      MakeTable(kHistoryColumns, ArrayAt(*body, "versions"))
-          .Print(session.out());
+      PrintVersions(session, ArrayAt(*body, "versions"));
     return code;
   }
+
+ private:
+  std::string Target() const {
+    std::string target = "/v1/config/history";
+    if (version_)
+      return target + "?version=" + std::to_string(*version_);
+    if (after_)
+      target += "?after=" + std::to_string(*after_);
+    if (limit_) {
+      target += after_ ? "&" : "?";
+      target += "limit=" + std::to_string(*limit_);
+    }
+    return target;
+  }
+
+  static void PrintVersions(const session& session,
+                            const json::array& versions) {
+    text_table table({"VERSION"});
+    for (const json::value& version : versions)
+      table.AddRow({json::serialize(version)});
+    table.Print(session.out());
+  }
+
+  std::optional<std::uint64_t> version_;
+  std::optional<std::uint64_t> after_;
+  std::optional<std::int64_t> limit_;
 };
 
 constexpr std::array<command_entry, 4> kCommands{{
--- a/src/egretrackctl/commands/process_commands.cc
+++ b/src/egretrackctl/commands/process_commands.cc
@@ -36,6 +36,8 @@
     {"EJECTED", "ejected"},
 }};
 
+constexpr const char* kUnreachable = "unreachable";
+
 class status_command final : public command {
  public:
   void Declare(CLI::App& /*app*/) override {}
@@ -74,12 +76,14 @@
   }
 
   void AddUnreachable(const session& session, const net::tcp_address& entry) {
-    const json::value row{{"address", entry.ToString()},
-                          {"ready", "unreachable"}};
-    if (session.options().json)
+    json::object row{{"address", entry.ToString()}};
+    if (session.options().json) {
+      row["error"] = kUnreachable;
       session.out() << json::serialize(row) << '\n';
-    else
-      statuses_.push_back(row);
+      return;
+    }
+    row["ready"] = kUnreachable;
+    statuses_.push_back(std::move(row));
   }
 
   void Print(const session& session) const {
--- a/src/egretrackctl/commands/tests/command_line_test.cc
+++ b/src/egretrackctl/commands/tests/command_line_test.cc
@@ -136,7 +136,7 @@
 // Guards against a loser of a race that is not told what changed (F10).
 TEST_F(CommandLine, PublishShowsTheConflict) {
   network_.replies = {Answer(409, R"({"error":"conflict","message":"m",
-    "diff":[{"change":"changed","object":"limit.l","key":"weight",
+    "changes":[{"change":"changed","object":"limit.l","key":"weight",
              "before":"1","after":"2"}]})")};
   EXPECT_EQ(Run({"publish", file_, "--base", "3"}), exit_code::kConflict);
   EXPECT_NE(err_.str().find("changed  limit.l  weight  1       2\n"),
@@ -144,6 +144,37 @@
       << err_.str();
 }
 
+// Guards against a first publication that no entry accepts, because none has a
+// configuration to name as the base.
+TEST_F(CommandLine, PublishThroughAFreshEntryStartsAtZero) {
+  network_.replies = {Answer(503, R"({"error":"not_ready","message":"m"})"),
+                      Answer(200, R"({"version":1})")};
+  EXPECT_EQ(Run({"publish", file_}), exit_code::kOk) << err_.str();
+  ASSERT_EQ(network_.calls.size(), 2U);
+  EXPECT_TRUE(
+      network_.calls[1].line.starts_with("PUT /v1/config?base=0&publication="));
+}
+
+// Guards against an overloaded entry that is taken for one without a version.
+TEST_F(CommandLine, PublishStopsWhenTheVersionIsNotRead) {
+  network_.replies = {Answer(503, R"({"error":"overloaded","message":"m"})")};
+  EXPECT_EQ(Run({"publish", file_}), exit_code::kRefused);
+  EXPECT_EQ(network_.calls.size(), 1U);
+}
+
+// Guards against a list of versions that is shown as rows of dashes, and
+// against a version that cannot be read back.
+TEST_F(CommandLine, HistoryListsAndShowsVersions) {
+  network_.replies = {Answer(200, R"({"versions":[3,4]})"),
+                      Answer(200, R"({"version":3,"document":"[desk.d]\n"})")};
+  EXPECT_EQ(Run({"history", "--after", "2", "--limit", "2"}), exit_code::kOk);
+  EXPECT_EQ(out_.str(), "VERSION\n3\n4\n");
+  EXPECT_EQ(network_.calls[0].line, "GET /v1/config/history?after=2&limit=2");
+  EXPECT_EQ(Run({"history", "--version", "3"}), exit_code::kOk);
+  EXPECT_EQ(out_.str(), "[desk.d]\n");
+  EXPECT_EQ(network_.calls[1].line, "GET /v1/config/history?version=3");
+}
+
 // Guards against a diff in the wrong direction.
 TEST_F(CommandLine, DiffComparesWithThePublishedSet) {
   network_.replies = {
--- a/src/entry/config_publisher.cc
+++ b/src/entry/config_publisher.cc
@@ -42,16 +42,18 @@
 
 void config_publisher::ReadVersion(std::uint64_t version,
                                    net::http_exchange_ptr exchange) {
-  table_.Read(kHistoryTable, HistoryKey(version),
-              [exchange = std::move(exchange)](
-                  result<std::optional<store::row>> found) {
-                if (!found)
-                  return exchange->Respond(MakeUnavailable(found.error()));
-                if (!*found)
-                  return exchange->Respond(MakeErrorResponse(
-                      request_errc::kUnknownVersion, "history"));
-                exchange->Respond(MakeJson(std::move((*found)->value)));
-              });
+  table_.Read(
+      kHistoryTable, HistoryKey(version),
+      [version, exchange = std::move(exchange)](
+          result<std::optional<store::row>> found) {
+        if (!found)
+          return exchange->Respond(MakeUnavailable(found.error()));
+        if (!*found)
+          return exchange->Respond(MakeErrorResponse(
+              request_errc::kUnknownVersion,
+              "version " + std::to_string(version) + " is not in the history"));
+        exchange->Respond(MakeJson(std::move((*found)->value)));
+      });
 }
 
 }  // namespace egretrack::entry
--- a/src/entry/outbound.cc
+++ b/src/entry/outbound.cc
@@ -79,7 +79,8 @@
   }
   parts_.waiting.Respond(
       command.caller,
-      MakeErrorResponse(request_errc::kUnknownAgent, "agent in the path"));
+      MakeErrorResponse(request_errc::kUnknownAgent,
+                        "no agent of this name has connected to this entry"));
 }
 
 void outbound::On(decision::give_status& command) {
--- a/src/standins/child_process.cc
+++ b/src/standins/child_process.cc
@@ -25,40 +25,57 @@
 }
 
 // Runs between fork and exec, so it only makes calls that are safe there.
-[[noreturn]] void RunChild(char* const* arguments, int output, pid_t parent) {
+[[noreturn]] void RunChild(char* const* arguments,
+                           int output,
+                           int errors,
+                           pid_t parent) {
   setpgid(0, 0);
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   // The parent may have died before the line above.
   if (getppid() != parent)
     _exit(kExecFailed);
   dup2(output, STDOUT_FILENO);
-  dup2(output, STDERR_FILENO);
+  dup2(errors, STDERR_FILENO);
   execv(arguments[0], arguments);
   _exit(kExecFailed);
 }
 
+int OpenForAppending(const std::string& path) {
+  return open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+}
+
+error SystemError(int cause, const std::string& subject) {
+  return MakeError(std::error_code(cause, std::system_category()), subject);
+}
+
 }  // namespace
 
 result<child_process> child_process::Start(
     const std::string& program,
     std::span<const std::string> arguments,
-    const std::string& output) {
+    const std::string& output,
+    const std::string& errors) {
   std::vector<std::string> words = {program};
   words.insert(words.end(), arguments.begin(), arguments.end());
   const std::vector<char*> pointers = ArgumentPointers(words);
-  const int log =
-      open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
-  if (log < 0) {
-    return MakeError(std::error_code(errno, std::system_category()), output);
+  const int output_file = OpenForAppending(output);
+  if (output_file < 0)
+    return SystemError(errno, output);
+  const int errors_file = OpenForAppending(errors);
+  if (errors_file < 0) {
+    const int cause = errno;
+    close(output_file);
+    return SystemError(cause, errors);
   }
   const pid_t parent = getpid();
   const pid_t pid = fork();
   if (pid == 0)
-    RunChild(pointers.data(), log, parent);
+    RunChild(pointers.data(), output_file, errors_file, parent);
   const int cause = errno;
-  close(log);
+  close(output_file);
+  close(errors_file);
   if (pid < 0)
-    return MakeError(std::error_code(cause, std::system_category()), program);
+    return SystemError(cause, program);
   // Set on both sides, so that the group exists whichever runs first.
   setpgid(pid, pid);
   return child_process(pid);
--- a/src/standins/child_process.h
+++ b/src/standins/child_process.h
@@ -15,12 +15,13 @@
 // when the object goes, and by the kernel when the runner dies.
 class child_process {
  public:
-  // Standard output and error go to `output`. Must be called on the main
-  // thread: the kernel ends the child when the starting thread ends.
-  // Errors: those of the system.
+  // Standard output goes to `output`, standard error to `errors`; both may name
+  // the same file. Must be called on the main thread: the kernel ends the child
+  // when the starting thread ends. Errors: those of the system.
   static result<child_process> Start(const std::string& program,
                                      std::span<const std::string> arguments,
-                                     const std::string& output);
+                                     const std::string& output,
+                                     const std::string& errors);
   child_process(child_process&& other) noexcept;
   child_process& operator=(child_process&&) = delete;
   ~child_process();
--- a/src/standins/script_host.cc
+++ b/src/standins/script_host.cc
@@ -341,11 +341,15 @@
 
   // ---- Processes ----
 
-  // spawn(program, output file, {arguments}) -> process
+  // spawn(program, output file, {arguments}, error file) -> process. Without an
+  // error file, standard error goes to the output file as well.
   result<int> Spawn(lua_State* lua) {
     const std::string program = options_.programs + "/" + TextArgument(lua, 1);
     const auto arguments = ListArgument(lua, 3);
-    auto child = child_process::Start(program, arguments, TextArgument(lua, 2));
+    const std::string output = TextArgument(lua, 2);
+    const std::string errors = TextArgument(lua, 4);
+    auto child = child_process::Start(program, arguments, output,
+                                      errors.empty() ? output : errors);
     if (!child)
       return child.error();
     children_.push_back(std::move(*child));
--- a/testsuite/lib/cluster.lua
+++ b/testsuite/lib/cluster.lua
@@ -810,6 +810,30 @@
   return wait_exit(name, timeout)
 end
 
+local ctl_runs = 0
+
+-- Runs egretrackctl with these arguments to its end: {code, out, err}.
+function ctl(arguments, timeout)
+  return wait_ctl(ctl_async(arguments), timeout)
+end
+
+function ctl_async(arguments)
+  ctl_runs = ctl_runs + 1
+  local run = {out_path = file("ctl-" .. ctl_runs .. ".out"),
+    err_path = file("ctl-" .. ctl_runs .. ".err")}
+  run.handle = native.spawn("egretrackctl", run.out_path, arguments,
+    run.err_path)
+  return run
+end
+
+function wait_ctl(run, timeout)
+  wait_until(function() return native.exit_code(run.handle) end,
+    timeout or 30000, "egretrackctl ends")
+  return {code = native.exit_code(run.handle),
+    out = native.read_file(run.out_path),
+    err = native.read_file(run.err_path)}
+end
+
 -- Address of a listening process, for programs that the script runs.
 function direct_address(name) return address(name) end
 
