entry: end the table client before the sweeper of its test

Cause: SweeperDeletesOldRowsOnly ended once with a segmentation fault, in 1 of about 62 runs, under load. The test stopped the worker but not the table client, whose callback of a pending read then used the destroyed sweeper. An entry ends its table client before its sweeper.

Change: the test ends both before the sweeper goes. What it expects is the same.

Conclusion: the fault was in the test's order of destruction, by reading.

--- a/src/entry/tests/key_binder_test.cc
+++ b/src/entry/tests/key_binder_test.cc
@@ -34,7 +34,11 @@
           reported_.push_back(std::move(bound));
           changed_.notify_all();
         }) {}
-  ~binding_entry() {
+  ~binding_entry() { Stop(); }
+
+  // Ends every call of the table client, so that none reaches an object that a
+  // test has destroyed.
+  void Stop() {
     thread_.Stop();
     table_.reset();
   }
@@ -143,7 +147,8 @@
     std::this_thread::sleep_for(milliseconds(1));
   EXPECT_TRUE(first_.Keys(kKeyTable).empty());
   EXPECT_TRUE(first_.Keys(kKeyIndexTable).empty());
-  first_.thread().Stop();
+  // The sweeper goes before the entry does.
+  first_.Stop();
 }
 
 }  // namespace
