egretrackd: document and test the exit codes for bad settings

Cause: wrong usage ended with an exit code of the option parser (106), and a ports file or log file that cannot be written was reported as "system error", without the cause.

Conclusion: every start with bad settings ends with a documented exit code.

--- a/src/base/file.cc
+++ b/src/base/file.cc
@@ -1,10 +1,19 @@
 #include "egretrack/base/file.h"
 
 #include <array>
+#include <cerrno>
 #include <filesystem>
 #include <fstream>
+#include <system_error>
 
 namespace egretrack {
+namespace {
+
+error FileError(std::string_view path, const std::error_code& cause) {
+  return MakeError(errc::kSystem, std::string(path) + ": " + cause.message());
+}
+
+}  // namespace
 
 result<std::string> ReadFile(std::string_view path) {
   std::ifstream input(std::string(path), std::ios::binary);
@@ -23,15 +32,17 @@
 
 result<void> ReplaceFile(std::string_view path, std::string_view text) {
   const std::string temporary = std::string(path) + ".tmp";
+  // The stream keeps no cause of its own.
+  errno = 0;
   std::ofstream output(temporary, std::ios::binary | std::ios::trunc);
   output << text;
   output.close();
   if (!output.good())
-    return MakeError(errc::kSystem, temporary);
+    return FileError(path, {errno, std::generic_category()});
   std::error_code failure;
   std::filesystem::rename(temporary, std::string(path), failure);
   if (failure)
-    return MakeError(errc::kSystem, path);
+    return FileError(path, failure);
   return {};
 }
 
--- a/src/base/tests/file_test.cc
+++ b/src/base/tests/file_test.cc
@@ -29,5 +29,13 @@
             errc::kSystem);
 }
 
+// Guards against an operator who is told that a file could not be written, but
+// not which one and why.
+TEST(ReplaceFile, NamesTheFileAndTheCause) {
+  const auto failed = ReplaceFile("/nonexistent/file", "x");
+  EXPECT_EQ(failed.error().ToString(),
+            "/nonexistent/file: No such file or directory: system error");
+}
+
 }  // namespace
 }  // namespace egretrack
--- a/src/egretrackd/main.cc
+++ b/src/egretrackd/main.cc
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr int kExitOk = 0;
+constexpr int kExitUsage = 1;
 constexpr int kExitInvalidSettings = 2;
 constexpr int kExitStartFailed = 3;
 
@@ -85,7 +86,16 @@
   bool check = false;
   app.add_option("settings", path, "TOML file with the settings")->required();
   app.add_flag("--check", check, "Check the settings and exit");
-  CLI11_PARSE(app, argc, argv);
+  app.footer(
+      "Exit codes:\n  0  ended after a drain, or the settings are valid\n"
+      "  1  wrong usage of the command line\n  2  invalid settings\n"
+      "  3  start failed");
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& failure) {
+    // Zero is the code of --help.
+    return app.exit(failure) == 0 ? kExitOk : kExitUsage;
+  }
 
   const auto loaded = settings::LoadSettings(path);
   for (const auto& fault : loaded.faults)
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <fstream>
 #include <string>
+#include <system_error>
 
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
@@ -73,8 +75,12 @@
   }
   const std::string path(file);
   // log4cplus only prints a failure to open the file.
-  if (!path.empty() && !std::ofstream(path, std::ios_base::app).is_open())
-    return MakeError(errc::kSystem, "log file '" + path + "'");
+  errno = 0;
+  if (!path.empty() && !std::ofstream(path, std::ios_base::app).is_open()) {
+    const std::error_code cause(errno, std::generic_category());
+    return MakeError(errc::kSystem,
+                     "log file '" + path + "': " + cause.message());
+  }
   Initialize();
   log4cplus::Logger root = log4cplus::Logger::getRoot();
   root.removeAllAppenders();
