--- a/testsuite/lib/cluster.lua
+++ b/testsuite/lib/cluster.lua
@@ -731,7 +731,8 @@
     end
     add("agent", "a" .. i, i, {links = links})
     add("worker", "w" .. i, i, {
-      endpoint = options.endpoint or "turni",
+      endpoint = options.endpoints and options.endpoints[i]
+        or options.endpoint or "turni",
       speed = options.speeds and options.speeds[i] or 1,
       fail_all = options.failing_worker == i,
     })
@@ -762,7 +763,7 @@
 -- configuration and waits until every entry can use every agent.
 -- Fields: entries, agents, slots, config (text, or a file of the scenario;
 -- false: none), settings (by role "entry" or "agent", or by process name),
--- speeds (by worker), failing_worker (position), direct (agents connect without relays), workers (false:
+-- endpoint, or endpoints (by worker), speeds (by worker), failing_worker (position), direct (agents connect without relays), workers (false:
 -- no endpoint stand-ins).
 function cluster(fields)
   declare(fields or {})
