telemetry: make the burn chart readable

Cause: the rendered chart of a real run crowded the history of a young process at the right edge, because the time axis was always one hour. One minute in which all requests are missed burns 1,000 at an objective of 0.999; on an even axis it hid whether the other minutes kept the allowance of 1.

Change: the time axis fits the longest history, at least 5 minutes. The value axis is logarithmic, with ticks at 0, 1, 2, 5, 10 and so on. A unit test checks that burns of 0, 1 and 2 stay more than a line of text apart below a peak of 1,000; another one the label at the left end of the time axis.

Conclusion: the allowance is readable beside a peak.

--- a/src/telemetry/burn_svg.cc
+++ b/src/telemetry/burn_svg.cc
@@ -23,10 +23,9 @@
 constexpr double kTickGap = 8;
 constexpr std::string_view kAllowanceText = "allowance (burn 1)";
 
-constexpr int kMinutes = 60;
-constexpr int kMinuteStep = 10;
-// Even ticks at scales of 1, 2 and 5 times a power of ten.
-constexpr int kValueSteps = 5;
+constexpr int kMinuteSteps = 5;
+// A history shorter than this would be a steep line at the right edge.
+constexpr std::size_t kMinMinutes = 5;
 // The allowance line at 1 stays clear of the frame.
 constexpr double kMinScale = 2;
 
@@ -78,6 +77,21 @@
   return 10 * power;
 }
 
+// One minute in which all requests are missed burns 1,000 at an objective of
+// 0.999. On an even axis, it would hide whether other minutes stay below 1.
+double Stretch(double burn) {
+  return std::log1p(burn);
+}
+
+// Minutes on the time axis: the longest history, up to a whole step.
+int Minutes(const burn_report& report) {
+  std::size_t longest = kMinMinutes;
+  for (const desk_burn& desk : report.desks)
+    longest = std::max(longest, desk.history.size());
+  const int minutes = static_cast<int>(longest);
+  return (minutes + kMinuteSteps - 1) / kMinuteSteps * kMinuteSteps;
+}
+
 double Scale(const burn_report& report) {
   double highest = kMinScale;
   for (const desk_burn& desk : report.desks) {
@@ -100,6 +114,7 @@
   explicit chart(const burn_report& report)
       : report_(report),
         scale_(Scale(report)),
+        minutes_(Minutes(report)),
         width_(Width(report)),
         height_(std::max(
             kMinHeight,
@@ -120,10 +135,11 @@
 
  private:
   double X(double minutes_ago) const {
-    return kLeft + (kPlotWidth * (1 - (minutes_ago / kMinutes)));
+    return kLeft + (kPlotWidth * (1 - (minutes_ago / minutes_)));
   }
   double Y(double burn) const {
-    return bottom_ - ((bottom_ - kTop) * Drawable(burn) / scale_);
+    const double share = Stretch(Drawable(burn)) / Stretch(scale_);
+    return bottom_ - ((bottom_ - kTop) * share);
   }
 
   void Line(double x1,
@@ -153,22 +169,25 @@
   }
 
   void DrawValueAxis() {
-    for (int step = 0; step <= kValueSteps; ++step) {
-      const double value = scale_ * step / kValueSteps;
-      Line(kLeft, Y(value), kLeft + kPlotWidth, Y(value),
-           step == 0 ? "stroke=\"black\"" : "stroke=\"#dddddd\"");
-      Text(kLeft - kTickGap, Y(value) + 4, "text-anchor=\"end\"",
-           Number(value));
-    }
+    DrawValue(0, "stroke=\"black\"");
+    // 1, 2, 5, 10, 20, ..., the scale.
+    for (double value = 1; value <= scale_; value = RoundUp(value * 1.5))
+      DrawValue(value, "stroke=\"#dddddd\"");
     Line(kLeft, kTop, kLeft, bottom_, "stroke=\"black\"");
     const std::string middle = Number((kTop + bottom_) / 2);
     Text(20, (kTop + bottom_) / 2,
          "text-anchor=\"middle\" transform=\"rotate(-90 20 " + middle + ")\"",
-         "burn");
+         "burn (logarithmic)");
+  }
+
+  void DrawValue(double value, std::string_view style) {
+    Line(kLeft, Y(value), kLeft + kPlotWidth, Y(value), style);
+    Text(kLeft - kTickGap, Y(value) + 4, "text-anchor=\"end\"", Number(value));
   }
 
   void DrawTimeAxis() {
-    for (int minutes = 0; minutes <= kMinutes; minutes += kMinuteStep) {
+    const int step = minutes_ / kMinuteSteps;
+    for (int minutes = 0; minutes <= minutes_; minutes += step) {
       Line(X(minutes), bottom_, X(minutes), bottom_ + 5, "stroke=\"black\"");
       Text(X(minutes), bottom_ + 20, "text-anchor=\"middle\"", Number(minutes));
     }
@@ -211,6 +230,7 @@
 
   const burn_report& report_;
   const double scale_;
+  const int minutes_;
   const double width_;
   const double height_;
   const double bottom_;
--- a/src/telemetry/tests/burn_test.cc
+++ b/src/telemetry/tests/burn_test.cc
@@ -91,5 +91,39 @@
   EXPECT_EQ(ToSvg({}).find("nan"), std::string::npos);
 }
 
+// Vertical positions of the values in the chart.
+std::vector<double> Heights(const std::string& svg) {
+  std::vector<double> heights;
+  std::size_t at = svg.find("points=\"");
+  const std::size_t end = svg.find('/', at);
+  while ((at = svg.find(',', at)) < end)
+    heights.push_back(std::stod(svg.substr(++at)));
+  return heights;
+}
+
+// Guards against one bad minute that hides whether the others kept the
+// allowance.
+TEST(BurnSvg, PeakLeavesTheAllowanceReadable) {
+  burn_report report;
+  report.desks.push_back({"d", 0.999, {}, {0, 1, 2, 1000}});
+  const auto heights = Heights(ToSvg(report));
+  ASSERT_EQ(heights.size(), 4U);
+  EXPECT_GT(heights[0] - heights[1], 15);  // Text is 13 units high.
+  EXPECT_GT(heights[1] - heights[2], 15);
+  EXPECT_EQ(heights[3], 50);
+}
+
+// Guards against the history of a young process that is drawn as one steep
+// line at the edge, and against a full one that is cut.
+TEST(BurnSvg, TimeAxisFitsTheHistory) {
+  burn_report report;
+  report.desks.push_back({"d", 0.999, {}, std::vector<double>(3, 1)});
+  // The label at the left end of the axis.
+  const std::string left = "<text x=\"70\" y=\"360\" text-anchor=\"middle\">";
+  EXPECT_NE(ToSvg(report).find(left + "5</text>"), std::string::npos);
+  report.desks[0].history.resize(60, 1);
+  EXPECT_NE(ToSvg(report).find(left + "60</text>"), std::string::npos);
+}
+
 }  // namespace
 }  // namespace egretrack::telemetry
