--- a/testsuite/lib/cluster.lua
+++ b/testsuite/lib/cluster.lua
@@ -731,7 +731,8 @@
     end
     add("agent", "a" .. i, i, {links = links})
     add("worker", "w" .. i, i, {
-      endpoint = options.endpoint or "turni",
+      endpoint = options.endpoints and options.endpoints[i]
+        or options.endpoint or "turni",
       speed = options.speeds and options.speeds[i] or 1,
       fail_all = options.failing_worker == i,
     })
@@ -762,7 +763,7 @@
 -- configuration and waits until every entry can use every agent.
 -- Fields: entries, agents, slots, config (text, or a file of the scenario;
 -- false: none), settings (by role "entry" or "agent", or by process name),
--- speeds (by worker), failing_worker (position), direct (agents connect without relays), workers (false:
+-- endpoint, or endpoints (by worker), speeds (by worker), failing_worker (position), direct (agents connect without relays), workers (false:
 -- no endpoint stand-ins).
 function cluster(fields)
   declare(fields or {})
@@ -810,6 +811,30 @@
   return wait_exit(name, timeout)
 end
 
+local ctl_runs = 0
+
+-- Runs egretrackctl with these arguments to its end: {code, out, err}.
+function ctl(arguments, timeout)
+  return wait_ctl(ctl_async(arguments), timeout)
+end
+
+function ctl_async(arguments)
+  ctl_runs = ctl_runs + 1
+  local run = {out_path = file("ctl-" .. ctl_runs .. ".out"),
+    err_path = file("ctl-" .. ctl_runs .. ".err")}
+  run.handle = native.spawn("egretrackctl", run.out_path, arguments,
+    run.err_path)
+  return run
+end
+
+function wait_ctl(run, timeout)
+  wait_until(function() return native.exit_code(run.handle) end,
+    timeout or 30000, "egretrackctl ends")
+  return {code = native.exit_code(run.handle),
+    out = native.read_file(run.out_path),
+    err = native.read_file(run.err_path)}
+end
+
 -- Address of a listening process, for programs that the script runs.
 function direct_address(name) return address(name) end
 
