--- a/src/include/egretrack/base/mailbox.h
+++ b/src/include/egretrack/base/mailbox.h
@@ -35,8 +35,8 @@
   bool WaitBatch(std::vector<Event>& batch, monotonic_time deadline) {
     batch.clear();
     std::unique_lock lock(mutex_);
-    const auto wait = std::min<microseconds>(
-        deadline - monotonic_clock::now(), kLongestWait);
+    const auto wait =
+        std::min<microseconds>(deadline - monotonic_clock::now(), kLongestWait);
     if (wait.count() > 0) {
       ready_.wait_for(lock, wait,
                       [this] { return closed_ || !events_.empty(); });
