Test that a query fences off a held task

Cause: A task that waits at the agent for a slot must not start once its home was told that it will not. No test failed when the agent reported the refusal and kept the task in its queue.

Change: a unit test.

Seen without the mechanism: without the mechanism the task starts when a slot is free: "agent_core_test.cc:70: Failure", Starts() is 3 instead of 2.

Conclusion: the refusal of a held task is final, which the home relies on when it sends the task to another agent.

--- a/src/decision/tests/agent_core_test.cc
+++ b/src/decision/tests/agent_core_test.cc
@@ -53,6 +53,23 @@
   EXPECT_EQ(Starts(), 0U);
 }
 
+// Guards against a held task that starts after its home was told that it will
+// not.
+TEST_F(AgentCore, QueryOfAHeldTaskFencesIt) {
+  const auto first = agent.Dispatch(0, 1);
+  const auto held = agent.Dispatch(1, 3);
+  agent.Deliver(0, first);
+  agent.Deliver(0, agent.Dispatch(0, 2));
+  agent.Deliver(1, held);
+  ASSERT_EQ(agent.Report().tasks_held, 1U);
+  agent.Deliver(1, wire::task_query{held.job, 0, 10, dispatch_number{1}});
+  EXPECT_EQ(agent.Last<wire::task_report>(1).reason, task_reason::kFenced);
+  agent.End(first.job);
+  agent.Deliver(1, held);
+  EXPECT_EQ(agent.Last<wire::task_report>(1).state, task_state::kRefused);
+  EXPECT_EQ(Starts(), 2U);
+}
+
 // Guards against a lookup by another entry that fences off the home's work.
 TEST_F(AgentCore, LookupWritesNothing) {
   const auto dispatch = agent.Dispatch(0, 1);
