Test that a lookup of part of a job claims nothing

Cause: When the home is gone, another entry may answer only with every result, and no single agent can say that a task did not run. No unit test failed when a lookup answered with part of the results, or took the refusal of one agent for "not run".

Change: a unit test.

Seen without the mechanism: a partial answer is caught by "entry_core_test.cc:194", outcome 1 (answered); a refusal taken for "not run" by "entry_core_test.cc:196", outcome 2.

Conclusion: the lookup answers whole or outcome_unknown.

--- a/src/decision/tests/entry_core_test.cc
+++ b/src/decision/tests/entry_core_test.cc
@@ -176,6 +176,26 @@
   EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kOutcomeUnknown);
 }
 
+// Guards against a partial answer, and against "not run" on the word of one
+// agent, when the home is gone.
+TEST_F(EntryCore, LookupOfPartOfAJobEndsUnknown) {
+  driver_.Join(1, 8);
+  const job_id id{"e2", incarnation{7}, 1, 2};
+  const caller_token caller = driver_.Submit(2, id);
+  driver_.Handle(home_unreachable{caller, id});
+  const auto asked = driver_.TakeSent<wire::job_lookup>();
+  ASSERT_EQ(asked.size(), 1U);
+  wire::job_records records{asked[0].message.lookup, id, {}};
+  records.records = {{0, 2, task_state::kFinished, {}, "r0"},
+                     {1, 2, task_state::kRefused, {}, ""}};
+  driver_.FromAgent(1, 1, records);
+  const auto answer = driver_.AnswerOf(caller);
+  ASSERT_NE(answer, nullptr);
+  EXPECT_EQ(answer->outcome, job_outcome::kOutcomeUnknown);
+  EXPECT_EQ(answer->tasks[0].outcome, task_outcome::kFinished);
+  EXPECT_EQ(answer->tasks[1].outcome, task_outcome::kUnknown);
+}
+
 // Guards against use of old credits, and against lost messages of the old
 // connection staying unnoticed.
 TEST_F(EntryCore, ReconnectResetsCreditsAndQueries) {
