Test that only idempotent single requests are retried

Cause: A request that is not idempotent, or a task of a larger job, must not run again after an unknown outcome. No unit test failed when either condition was dropped.

Change: a unit test.

Seen without the mechanism: without the check of idempotence "Value of: Dispatches().empty() Actual: false"; without the check of the task count the counter of retries is 1 instead of 0.

Conclusion: both conditions of the retry are held by a test.

--- a/src/decision/tests/entry_core_test.cc
+++ b/src/decision/tests/entry_core_test.cc
@@ -239,6 +239,23 @@
   EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kOutcomeUnknown);
 }
 
+// Guards against a second run of a request that is not idempotent, or of a
+// task of a larger job, after an unknown outcome.
+TEST_F(EntryCore, OnlyIdempotentSinglesAreRetried) {
+  driver_.Join(1, 3);
+  const caller_token plain = driver_.Submit(1);
+  const caller_token larger = driver_.Submit(2, std::nullopt, "read");
+  ASSERT_EQ(Dispatches().size(), 3U);
+  driver_.FromAgent(11, 1, entry_driver::Hello("a1", 99));
+  driver_.FromAgent(11, 1, wire::grant{3});
+  EXPECT_TRUE(Dispatches().empty());
+  EXPECT_EQ(driver_.core().counters().retries, 0U);
+  for (const caller_token caller : {plain, larger}) {
+    ASSERT_NE(driver_.AnswerOf(caller), nullptr);
+    EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kOutcomeUnknown);
+  }
+}
+
 // Guards against "not run" for a task whose first attempt may have run.
 TEST_F(EntryCore, RetryThatNeverStartsStaysUnknown) {
   driver_.Join(1, 1);
