Test the retry budget

Cause: When an agent dies, all its idempotent requests become unknown at once; the budget keeps their retries from repeating the whole load. No test failed without the budget.

Change: a unit test.

Seen without the mechanism: "Dispatches().size() Which is: 8" instead of 1.

--- a/src/decision/tests/entry_core_test.cc
+++ b/src/decision/tests/entry_core_test.cc
@@ -256,6 +256,18 @@
   }
 }
 
+// Guards against retries that repeat all the work of an agent that died.
+TEST_F(EntryCore, RetriesStayWithinTheBudget) {
+  driver_.Join(1, 8);
+  for (int i = 0; i < 8; ++i)
+    driver_.Submit(1, std::nullopt, "read");
+  ASSERT_EQ(Dispatches().size(), 8U);
+  driver_.FromAgent(11, 1, entry_driver::Hello("a1", 99));
+  driver_.FromAgent(11, 1, wire::grant{8});
+  EXPECT_EQ(Dispatches().size(), 1U);
+  EXPECT_EQ(driver_.core().counters().retries, 1U);
+}
+
 // Guards against "not run" for a task whose first attempt may have run.
 TEST_F(EntryCore, RetryThatNeverStartsStaysUnknown) {
   driver_.Join(1, 1);
