Test that a draining agent grants no credits

Cause: Slots that become free during a drain must not be granted again. No unit test failed when the lender went on.

Change: a unit test.

Seen without the mechanism: the heartbeat grants 3 credits in total, more than before the drain ("agent_core_test.cc:334: Failure").

Conclusion: the grant stops with the drain, and not only by the refusal of later dispatches.

--- a/src/decision/tests/agent_core_test.cc
+++ b/src/decision/tests/agent_core_test.cc
@@ -307,6 +307,19 @@
   EXPECT_EQ(agent.Commands<agent_drain_finished>().size(), 1U);
 }
 
+// Guards against a draining agent that grants the slots it frees.
+TEST_F(AgentCore, DrainingAgentGrantsNothing) {
+  const auto dispatch = agent.Dispatch(0, 1);
+  agent.Deliver(0, dispatch);
+  agent.Handle(agent_drain{});
+  const auto granted = agent.Last<wire::heartbeat>(0).granted_total;
+  agent.Reply(0, 5);
+  agent.End(dispatch.job);
+  agent.Pass(milliseconds(250));
+  EXPECT_EQ(agent.Last<wire::heartbeat>(0).granted_total, granted);
+  EXPECT_EQ(agent.Last<wire::task_report>(0).granted_total, granted);
+}
+
 // Guards against a shutdown that waits for an entry that is gone.
 TEST_F(AgentCore, DrainWithoutConfirmationIsBounded) {
   agent.Handle(agent_drain{});
