Test that held tasks are refused when the endpoint goes

Cause: Tasks that wait for a slot were sent for the endpoint before; they go back to the home at once. No unit test failed when they stayed, and none covered the withdrawal by itself.

Change: a unit test.

Seen without the mechanism: without the refusal "agent_core_test.cc:183: Failure", no report for the held task, and a third start.

Conclusion: a withdrawn endpoint gets no task that was waiting for it.

--- a/src/decision/tests/agent_core_test.cc
+++ b/src/decision/tests/agent_core_test.cc
@@ -171,6 +171,21 @@
   EXPECT_EQ(agent.Last<wire::heartbeat>(0).granted_total, 0U);
 }
 
+// Guards against held tasks that start at an endpoint that is gone, or wait
+// for one that may never come.
+TEST_F(AgentCore, WithdrawalRefusesHeldTasks) {
+  const auto first = agent.Dispatch(0, 1);
+  agent.Deliver(0, first);
+  agent.Deliver(0, agent.Dispatch(0, 2));
+  agent.Deliver(1, agent.Dispatch(1, 3));
+  ASSERT_EQ(agent.Report().tasks_held, 1U);
+  agent.Handle(endpoint_withdrawn{});
+  EXPECT_EQ(agent.Last<wire::task_report>(1).reason, task_reason::kNoEndpoint);
+  EXPECT_TRUE(agent.Last<wire::heartbeat>(0).endpoint.empty());
+  agent.End(first.job);
+  EXPECT_EQ(Starts(), 2U);
+}
+
 // Guards against a cancelled job whose queued or later tasks still start.
 TEST_F(AgentCore, CancelRefusesHeldAndLaterTasks) {
   const auto job = agent.JobOf(0, 1);
