Test the answer to a key whose row is unknown

Cause: When the row of an Idempotency-Key can be neither written nor read, an earlier request may have run. No unit test failed when the entry answered "refused" in that case.

Change: a unit test.

Seen without the mechanism: "entry_core_test.cc:386: Failure", outcome 2 (refused) instead of outcome_unknown.

Conclusion: the entry claims nothing about such a key.

--- a/src/decision/tests/entry_core_test.cc
+++ b/src/decision/tests/entry_core_test.cc
@@ -374,6 +374,19 @@
   EXPECT_TRUE(Dispatches().empty());
 }
 
+// Guards against "not run" when the row of the key could not be read.
+TEST_F(EntryCore, KeyOfUnknownBindingClaimsNothing) {
+  driver_.Join(1, 8);
+  const caller_token caller = driver_.Submit(1, std::nullopt, "find", "", "k");
+  const auto binds = driver_.Take<bind_key>();
+  ASSERT_EQ(binds.size(), 1U);
+  driver_.Handle(key_bound{binds[0].id, key_binding::kUnknown, {}});
+  ASSERT_NE(driver_.AnswerOf(caller), nullptr);
+  EXPECT_EQ(driver_.AnswerOf(caller)->code, job_errc::kKeyOutcomeUnknown);
+  EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kOutcomeUnknown);
+  EXPECT_TRUE(Dispatches().empty());
+}
+
 // Guards against a start after the job was answered.
 TEST_F(EntryCore, NoStartAfterTheDeadline) {
   driver_.Join(1, 1);
