Test the refusal at a closed desk

Cause: A job of a desk without an open shift can not run now. No test failed without this check.

Change: a unit test.

Seen without the mechanism: the job is refused as no_endpoint, with advice to retry at once, instead of desk_closed ("entry_core_test.cc:540: Failure").

Conclusion: the refusal names the shift as the reason.

--- a/src/decision/tests/entry_core_test.cc
+++ b/src/decision/tests/entry_core_test.cc
@@ -528,6 +528,19 @@
   EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kOutcomeUnknown);
 }
 
+// Guards against a job that waits for a desk that is closed.
+TEST_F(EntryCore, ClosedDeskRefusesAtOnce) {
+  objects::configuration set = MakeConfiguration(2);
+  objects::shift monday{"monday", "desk", 1, 480, 1080, {"turni"}, {}};
+  set.objects.shifts = {monday};  // The driver's clock shows a Thursday.
+  driver_.Configure(set);
+  driver_.Join(1, 8);
+  const caller_token caller = driver_.Submit(1);
+  ASSERT_NE(driver_.AnswerOf(caller), nullptr);
+  EXPECT_EQ(driver_.AnswerOf(caller)->code, job_errc::kDeskClosed);
+  EXPECT_TRUE(Dispatches().empty());
+}
+
 // Guards against a drain request that is lost with a connection.
 TEST_F(EntryCore, DrainOfAgentIsRepeatedUntilItDrains) {
   driver_.Join(1, 8);
