Test that a full table of job records refuses new jobs

Cause: No record may go before its retention time, so that a full table refuses. No test failed without the bound.

Change: a unit test.

Seen without the mechanism: "Expected: (driver.AnswerOf(second)) != (nullptr)": the second job was accepted.

Conclusion: the bound holds and the recorded job still gets its answer.

--- a/src/decision/tests/entry_core_test.cc
+++ b/src/decision/tests/entry_core_test.cc
@@ -541,6 +541,24 @@
   EXPECT_TRUE(Dispatches().empty());
 }
 
+// Guards against a full table that forgets a job to make room for another.
+TEST(EntryCoreLimits, FullRecordsRefuseNewJobs) {
+  entry_options options = MakeOptions();
+  options.max_job_records = 1;
+  entry_driver driver(options);
+  driver.Configure();
+  driver.Join(1, 8);
+  const job_id id = driver.Reserve();
+  const caller_token first = driver.Submit(1, id);
+  const caller_token second = driver.Submit(1);
+  ASSERT_NE(driver.AnswerOf(second), nullptr);
+  EXPECT_EQ(driver.AnswerOf(second)->code, job_errc::kRecordsFull);
+  const auto sent = driver.TakeSent<wire::dispatch>();
+  ASSERT_EQ(sent.size(), 1U);
+  driver.Report(1, sent[0].message, task_state::kFinished);
+  EXPECT_EQ(driver.AnswerOf(driver.Submit(1, id)), driver.AnswerOf(first));
+}
+
 // Guards against a drain request that is lost with a connection.
 TEST_F(EntryCore, DrainOfAgentIsRepeatedUntilItDrains) {
   driver_.Join(1, 8);
