Test the quota of queued tasks

Cause: A burst of one team must not fill the queue beyond max_queued. No test failed without the check.

Change: a unit test.

Seen without the mechanism: "Expected: (driver.AnswerOf(beyond)) != (nullptr)": the job beyond the quota was accepted.

Conclusion: the quota refuses the excess as a whole, truthfully "not run".

--- a/src/decision/tests/entry_core_test.cc
+++ b/src/decision/tests/entry_core_test.cc
@@ -559,6 +559,23 @@
   EXPECT_EQ(driver.AnswerOf(driver.Submit(1, id)), driver.AnswerOf(first));
 }
 
+// Guards against a burst of one team that fills the queue beyond its quota.
+TEST(EntryCoreLimits, QueueQuotaRefusesTheExcess) {
+  entry_options options = MakeOptions();
+  options.peers.clear();
+  entry_driver driver(options);
+  objects::configuration set = MakeConfiguration(1);
+  set.objects.limits = {{"north", "desk", "north", 1, 0, 2, ""}};
+  driver.Configure(set);
+  driver.Join(1, 0);
+  const caller_token within = driver.Submit(2, std::nullopt, "find", "north");
+  const caller_token beyond = driver.Submit(1, std::nullopt, "find", "north");
+  EXPECT_EQ(driver.AnswerOf(within), nullptr);
+  ASSERT_NE(driver.AnswerOf(beyond), nullptr);
+  EXPECT_EQ(driver.AnswerOf(beyond)->code, job_errc::kQuotaExceeded);
+  EXPECT_EQ(driver.AnswerOf(beyond)->outcome, job_outcome::kRefused);
+}
+
 // Guards against a drain request that is lost with a connection.
 TEST_F(EntryCore, DrainOfAgentIsRepeatedUntilItDrains) {
   driver_.Join(1, 8);
