Test that an overtaken heartbeat exchange is ignored

Cause: The bound on the home clock comes from the latest exchange. The links drop older replies before the clock sees them, so that no test failed when the clock took them.

Change: a unit test.

Seen without the mechanism: "agent_home_clock_test.cc:75: Failure": the bound moved.

Conclusion: the clock ignores them by itself as well.

--- a/src/decision/tests/agent_home_clock_test.cc
+++ b/src/decision/tests/agent_home_clock_test.cc
@@ -59,5 +59,21 @@
             monotonic_time::min());
 }
 
+// Guards against an answer that was overtaken by a later one.
+TEST(HomeClock, OlderExchangeChangesNothing) {
+  home_clock clock(kDrift);
+  const job_id job{"e1", incarnation{3}, 0, 0};
+  wire::heartbeat_reply reply;
+  reply.entry = "e1";
+  reply.entry_incarnation = incarnation{3};
+  reply.entry_time = monotonic_time(seconds(100));
+  clock.Observe(reply, monotonic_time(seconds(2)));
+  const monotonic_time limit{seconds(101)};
+  const monotonic_time before = clock.SurelyBefore(job, limit);
+  reply.entry_time = monotonic_time(seconds(90));
+  clock.Observe(reply, monotonic_time(seconds(1)));
+  EXPECT_EQ(clock.SurelyBefore(job, limit), before);
+}
+
 }  // namespace
 }  // namespace egretrack::decision
