Fence off a later dispatch by the answer to its query

Cause: a dispatch with a higher number replaces the record of a refusal. A query for that dispatch was answered "refused" from the record of the earlier one, which kept the earlier number, so that the later dispatch could still start after its home had taken it for not run.

Change: such a query raises the number of the record and renews its retention.

Seen without the change: the new test QueryOfALaterDispatchFencesIt reports "Starts() Which is: 1" instead of 0.

Conclusion: a dispatch reported as refused never starts.

--- a/src/decision/agent_tasks.cc
+++ b/src/decision/agent_tasks.cc
@@ -188,6 +188,13 @@
     RefuseOneHeld(turn, query.job, query.task, *kept, task_reason::kFenced);
     return;
   }
+  // The report refuses the dispatch that was asked for, which has not arrived;
+  // the record must fence it off as it does the earlier one.
+  if (kept->cycle.phase() == task_phase::kRefused &&
+      query.dispatch > kept->dispatch) {
+    kept->dispatch = query.dispatch;
+    records_.CloseTask(query.job, query.task, turn.now);
+  }
   Report(turn, entry, query.dispatch, query.job, query.task, *kept);
 }
 
--- a/src/decision/tests/agent_core_test.cc
+++ b/src/decision/tests/agent_core_test.cc
@@ -87,6 +87,22 @@
   EXPECT_EQ(Starts(), 1U);
 }
 
+// Guards against a task that starts after its home was told, in answer to a
+// query for a later dispatch, that it will not: the refusal of the earlier one
+// must not leave the later one open.
+TEST_F(AgentCore, QueryOfALaterDispatchFencesIt) {
+  auto dispatch = agent.Dispatch(0, 1);
+  agent.Deliver(0, wire::task_query{dispatch.job, 0, 10, dispatch_number{1}});
+  agent.Deliver(0, wire::task_query{dispatch.job, 0, 10, dispatch_number{2}});
+  EXPECT_EQ(agent.Last<wire::task_report>(0).state, task_state::kRefused);
+  EXPECT_EQ(agent.Last<wire::task_report>(0).dispatch, dispatch_number{2});
+  dispatch.number = dispatch_number{2};
+  agent.Deliver(0, dispatch);
+  EXPECT_EQ(Starts(), 0U);
+  agent.Pass(agent_driver::Options().retention + seconds(1));
+  EXPECT_EQ(agent.Report().records, 0U);
+}
+
 // Guards against the expiry of a refusal that takes the record of the later
 // start with it.
 TEST_F(AgentCore, ExpiryOfARefusalKeepsTheLaterStart) {
