--- a/src/decision/tests/agent_core_test.cc
+++ b/src/decision/tests/agent_core_test.cc
@@ -53,6 +53,23 @@
   EXPECT_EQ(Starts(), 0U);
 }
 
+// Guards against a held task that starts after its home was told that it will
+// not.
+TEST_F(AgentCore, QueryOfAHeldTaskFencesIt) {
+  const auto first = agent.Dispatch(0, 1);
+  const auto held = agent.Dispatch(1, 3);
+  agent.Deliver(0, first);
+  agent.Deliver(0, agent.Dispatch(0, 2));
+  agent.Deliver(1, held);
+  ASSERT_EQ(agent.Report().tasks_held, 1U);
+  agent.Deliver(1, wire::task_query{held.job, 0, 10, dispatch_number{1}});
+  EXPECT_EQ(agent.Last<wire::task_report>(1).reason, task_reason::kFenced);
+  agent.End(first.job);
+  agent.Deliver(1, held);
+  EXPECT_EQ(agent.Last<wire::task_report>(1).state, task_state::kRefused);
+  EXPECT_EQ(Starts(), 2U);
+}
+
 // Guards against a refused task that its only agent never takes again, and
 // against a late copy of the refused dispatch that starts it a second time.
 TEST_F(AgentCore, RefusedTaskSentAnewStartsOnce) {
@@ -70,6 +87,22 @@
   EXPECT_EQ(Starts(), 1U);
 }
 
+// Guards against a task that starts after its home was told, in answer to a
+// query for a later dispatch, that it will not: the refusal of the earlier one
+// must not leave the later one open.
+TEST_F(AgentCore, QueryOfALaterDispatchFencesIt) {
+  auto dispatch = agent.Dispatch(0, 1);
+  agent.Deliver(0, wire::task_query{dispatch.job, 0, 10, dispatch_number{1}});
+  agent.Deliver(0, wire::task_query{dispatch.job, 0, 10, dispatch_number{2}});
+  EXPECT_EQ(agent.Last<wire::task_report>(0).state, task_state::kRefused);
+  EXPECT_EQ(agent.Last<wire::task_report>(0).dispatch, dispatch_number{2});
+  dispatch.number = dispatch_number{2};
+  agent.Deliver(0, dispatch);
+  EXPECT_EQ(Starts(), 0U);
+  agent.Pass(agent_driver::Options().retention + seconds(1));
+  EXPECT_EQ(agent.Report().records, 0U);
+}
+
 // Guards against the expiry of a refusal that takes the record of the later
 // start with it.
 TEST_F(AgentCore, ExpiryOfARefusalKeepsTheLaterStart) {
@@ -182,6 +215,21 @@
   EXPECT_EQ(agent.Last<wire::heartbeat>(0).granted_total, 0U);
 }
 
+// Guards against held tasks that start at an endpoint that is gone, or wait
+// for one that may never come.
+TEST_F(AgentCore, WithdrawalRefusesHeldTasks) {
+  const auto first = agent.Dispatch(0, 1);
+  agent.Deliver(0, first);
+  agent.Deliver(0, agent.Dispatch(0, 2));
+  agent.Deliver(1, agent.Dispatch(1, 3));
+  ASSERT_EQ(agent.Report().tasks_held, 1U);
+  agent.Handle(endpoint_withdrawn{});
+  EXPECT_EQ(agent.Last<wire::task_report>(1).reason, task_reason::kNoEndpoint);
+  EXPECT_TRUE(agent.Last<wire::heartbeat>(0).endpoint.empty());
+  agent.End(first.job);
+  EXPECT_EQ(Starts(), 2U);
+}
+
 // Guards against a cancelled job whose queued or later tasks still start.
 TEST_F(AgentCore, CancelRefusesHeldAndLaterTasks) {
   const auto job = agent.JobOf(0, 1);
@@ -318,6 +366,19 @@
   EXPECT_EQ(agent.Commands<agent_drain_finished>().size(), 1U);
 }
 
+// Guards against a draining agent that grants the slots it frees.
+TEST_F(AgentCore, DrainingAgentGrantsNothing) {
+  const auto dispatch = agent.Dispatch(0, 1);
+  agent.Deliver(0, dispatch);
+  agent.Handle(agent_drain{});
+  const auto granted = agent.Last<wire::heartbeat>(0).granted_total;
+  agent.Reply(0, 5);
+  agent.End(dispatch.job);
+  agent.Pass(milliseconds(250));
+  EXPECT_EQ(agent.Last<wire::heartbeat>(0).granted_total, granted);
+  EXPECT_EQ(agent.Last<wire::task_report>(0).granted_total, granted);
+}
+
 // Guards against a shutdown that waits for an entry that is gone.
 TEST_F(AgentCore, DrainWithoutConfirmationIsBounded) {
   agent.Handle(agent_drain{});
--- a/src/decision/tests/entry_core_test.cc
+++ b/src/decision/tests/entry_core_test.cc
@@ -193,6 +193,26 @@
   EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kOutcomeUnknown);
 }
 
+// Guards against a partial answer, and against "not run" on the word of one
+// agent, when the home is gone.
+TEST_F(EntryCore, LookupOfPartOfAJobEndsUnknown) {
+  driver_.Join(1, 8);
+  const job_id id{"e2", incarnation{7}, 1, 2};
+  const caller_token caller = driver_.Submit(2, id);
+  driver_.Handle(home_unreachable{caller, id});
+  const auto asked = driver_.TakeSent<wire::job_lookup>();
+  ASSERT_EQ(asked.size(), 1U);
+  wire::job_records records{asked[0].message.lookup, id, {}};
+  records.records = {{0, 2, task_state::kFinished, {}, "r0"},
+                     {1, 2, task_state::kRefused, {}, ""}};
+  driver_.FromAgent(1, 1, records);
+  const auto answer = driver_.AnswerOf(caller);
+  ASSERT_NE(answer, nullptr);
+  EXPECT_EQ(answer->outcome, job_outcome::kOutcomeUnknown);
+  EXPECT_EQ(answer->tasks[0].outcome, task_outcome::kFinished);
+  EXPECT_EQ(answer->tasks[1].outcome, task_outcome::kUnknown);
+}
+
 // Guards against use of old credits, and against lost messages of the old
 // connection staying unnoticed.
 TEST_F(EntryCore, ReconnectResetsCreditsAndQueries) {
@@ -236,6 +256,35 @@
   EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kOutcomeUnknown);
 }
 
+// Guards against a second run of a request that is not idempotent, or of a
+// task of a larger job, after an unknown outcome.
+TEST_F(EntryCore, OnlyIdempotentSinglesAreRetried) {
+  driver_.Join(1, 3);
+  const caller_token plain = driver_.Submit(1);
+  const caller_token larger = driver_.Submit(2, std::nullopt, "read");
+  ASSERT_EQ(Dispatches().size(), 3U);
+  driver_.FromAgent(11, 1, entry_driver::Hello("a1", 99));
+  driver_.FromAgent(11, 1, wire::grant{3});
+  EXPECT_TRUE(Dispatches().empty());
+  EXPECT_EQ(driver_.core().counters().retries, 0U);
+  for (const caller_token caller : {plain, larger}) {
+    ASSERT_NE(driver_.AnswerOf(caller), nullptr);
+    EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kOutcomeUnknown);
+  }
+}
+
+// Guards against retries that repeat all the work of an agent that died.
+TEST_F(EntryCore, RetriesStayWithinTheBudget) {
+  driver_.Join(1, 8);
+  for (int i = 0; i < 8; ++i)
+    driver_.Submit(1, std::nullopt, "read");
+  ASSERT_EQ(Dispatches().size(), 8U);
+  driver_.FromAgent(11, 1, entry_driver::Hello("a1", 99));
+  driver_.FromAgent(11, 1, wire::grant{8});
+  EXPECT_EQ(Dispatches().size(), 1U);
+  EXPECT_EQ(driver_.core().counters().retries, 1U);
+}
+
 // Guards against "not run" for a task whose first attempt may have run.
 TEST_F(EntryCore, RetryThatNeverStartsStaysUnknown) {
   driver_.Join(1, 1);
@@ -342,6 +391,19 @@
   EXPECT_TRUE(Dispatches().empty());
 }
 
+// Guards against "not run" when the row of the key could not be read.
+TEST_F(EntryCore, KeyOfUnknownBindingClaimsNothing) {
+  driver_.Join(1, 8);
+  const caller_token caller = driver_.Submit(1, std::nullopt, "find", "", "k");
+  const auto binds = driver_.Take<bind_key>();
+  ASSERT_EQ(binds.size(), 1U);
+  driver_.Handle(key_bound{binds[0].id, key_binding::kUnknown, {}});
+  ASSERT_NE(driver_.AnswerOf(caller), nullptr);
+  EXPECT_EQ(driver_.AnswerOf(caller)->code, job_errc::kKeyOutcomeUnknown);
+  EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kOutcomeUnknown);
+  EXPECT_TRUE(Dispatches().empty());
+}
+
 // Guards against a start after the job was answered.
 TEST_F(EntryCore, NoStartAfterTheDeadline) {
   driver_.Join(1, 1);
@@ -483,6 +545,54 @@
   EXPECT_EQ(driver_.AnswerOf(caller)->outcome, job_outcome::kOutcomeUnknown);
 }
 
+// Guards against a job that waits for a desk that is closed.
+TEST_F(EntryCore, ClosedDeskRefusesAtOnce) {
+  objects::configuration set = MakeConfiguration(2);
+  objects::shift monday{"monday", "desk", 1, 480, 1080, {"turni"}, {}};
+  set.objects.shifts = {monday};  // The driver's clock shows a Thursday.
+  driver_.Configure(set);
+  driver_.Join(1, 8);
+  const caller_token caller = driver_.Submit(1);
+  ASSERT_NE(driver_.AnswerOf(caller), nullptr);
+  EXPECT_EQ(driver_.AnswerOf(caller)->code, job_errc::kDeskClosed);
+  EXPECT_TRUE(Dispatches().empty());
+}
+
+// Guards against a full table that forgets a job to make room for another.
+TEST(EntryCoreLimits, FullRecordsRefuseNewJobs) {
+  entry_options options = MakeOptions();
+  options.max_job_records = 1;
+  entry_driver driver(options);
+  driver.Configure();
+  driver.Join(1, 8);
+  const job_id id = driver.Reserve();
+  const caller_token first = driver.Submit(1, id);
+  const caller_token second = driver.Submit(1);
+  ASSERT_NE(driver.AnswerOf(second), nullptr);
+  EXPECT_EQ(driver.AnswerOf(second)->code, job_errc::kRecordsFull);
+  const auto sent = driver.TakeSent<wire::dispatch>();
+  ASSERT_EQ(sent.size(), 1U);
+  driver.Report(1, sent[0].message, task_state::kFinished);
+  EXPECT_EQ(driver.AnswerOf(driver.Submit(1, id)), driver.AnswerOf(first));
+}
+
+// Guards against a burst of one team that fills the queue beyond its quota.
+TEST(EntryCoreLimits, QueueQuotaRefusesTheExcess) {
+  entry_options options = MakeOptions();
+  options.peers.clear();
+  entry_driver driver(options);
+  objects::configuration set = MakeConfiguration(1);
+  set.objects.limits = {{"north", "desk", "north", 1, 0, 2, ""}};
+  driver.Configure(set);
+  driver.Join(1, 0);
+  const caller_token within = driver.Submit(2, std::nullopt, "find", "north");
+  const caller_token beyond = driver.Submit(1, std::nullopt, "find", "north");
+  EXPECT_EQ(driver.AnswerOf(within), nullptr);
+  ASSERT_NE(driver.AnswerOf(beyond), nullptr);
+  EXPECT_EQ(driver.AnswerOf(beyond)->code, job_errc::kQuotaExceeded);
+  EXPECT_EQ(driver.AnswerOf(beyond)->outcome, job_outcome::kRefused);
+}
+
 // Guards against a drain request that is lost with a connection.
 TEST_F(EntryCore, DrainOfAgentIsRepeatedUntilItDrains) {
   driver_.Join(1, 8);
