Tell each agent its part of the queue as demand

Cause: every agent was told of the whole queue, also of work that it may not take (long share, ejection), and lent credits for the same tasks; idle credits were then recalled, at three messages each. Change: the demand is the queue divided by the agents that serve the kind, for kinds that the agent may take; a recall is answered by the same figure.

--- a/src/decision/entry_agents.cc
+++ b/src/decision/entry_agents.cc
@@ -261,10 +261,16 @@
     Emit(configuration_offered{message.version, std::move(message.document)});
 }
 
+// The agent's part of what waits. If each agent were told of the whole queue,
+// all of them would lend credits for the same tasks.
 std::uint32_t entry_core_impl::QueueLength(const entry_agent& agent) const {
   std::size_t length = 0;
-  for (const kind_state* kind : agent.kinds)
-    length += kind->queued_tasks;
+  for (const kind_state* kind : agent.kinds) {
+    if (kind->queued_tasks == 0 || !MayTake(agent, *kind))
+      continue;
+    const std::size_t agents = kind->agents.size();
+    length += (kind->queued_tasks + agents - 1) / agents;
+  }
   return static_cast<std::uint32_t>(length);
 }
 
--- a/src/decision/entry_core_impl.h
+++ b/src/decision/entry_core_impl.h
@@ -176,6 +176,7 @@
   void ServeKind(kind_state& kind);
   void ServeAll();
   bool CanTake(const entry_agent& agent, const kind_state& kind) const;
+  bool MayTake(const entry_agent& agent, const kind_state& kind) const;
   double LongShare(const kind_state& kind) const;
   entry_job* NextFor(const entry_agent& agent, kind_state& kind);
   void Dispatch(entry_job& job, entry_agent& agent);
--- a/src/decision/entry_dispatch.cc
+++ b/src/decision/entry_dispatch.cc
@@ -115,7 +115,13 @@
 
 bool entry_core_impl::CanTake(const entry_agent& agent,
                               const kind_state& kind) const {
-  if (!agent.serving() || !routing_->MaySend(agent))
+  return routing_->MaySend(agent) && MayTake(agent, kind);
+}
+
+// True when the agent would get work of the kind if it had a credit to spare.
+bool entry_core_impl::MayTake(const entry_agent& agent,
+                              const kind_state& kind) const {
+  if (!agent.serving())
     return false;
   if (agent.health.ejected() && !agent.health.TrialDue(now_))
     return false;
--- a/src/include/egretrack/wire/messages.h
+++ b/src/include/egretrack/wire/messages.h
@@ -142,7 +142,7 @@
   monotonic_time entry_time{};  // The entry's monotonic clock.
   std::uint64_t config_version = 0;
   std::string config_document;     // Only when the agent's version is lower.
-  std::uint32_t queue_length = 0;  // Tasks that this agent could run now.
+  std::uint32_t queue_length = 0;  // This agent's part of the queued tasks.
 
   bool operator==(const heartbeat_reply&) const = default;
 };
@@ -160,7 +160,7 @@
   dispatch_number number{};
   std::string kind;
   monotonic_time start_by{};       // On the home entry's monotonic clock.
-  std::uint32_t queue_length = 0;  // Tasks left that this agent could run now.
+  std::uint32_t queue_length = 0;  // This agent's part of the queued tasks.
   std::string payload;
 
   bool operator==(const dispatch&) const = default;
