Send to the fastest agent that has a credit

Cause: the entry weighed the load of an agent, although a credit stands for a slot of its own; and the learned speed followed single run times too closely. Change: speed decides, load breaks ties; the gain of the estimate falls to 0.03.

--- a/src/decision/agent_health.cc
+++ b/src/decision/agent_health.cc
@@ -11,7 +11,9 @@
 constexpr double kMinFailureRate = 0.5;
 constexpr double kFactorOverDesk = 3;  // Times the desk's median rate.
 constexpr double kFastFailureWeight = 2;
-constexpr double kSpeedGain = 0.1;
+// Run times of one kind differ by a factor of 20; with a gain of 0.1 they hid
+// the difference between agents.
+constexpr double kSpeedGain = 0.03;
 constexpr microseconds kFirstTrial = seconds(1);
 constexpr microseconds kMaxTrialInterval = seconds(60);
 
@@ -22,7 +24,8 @@
   if (median.count() > 0) {
     const double ratio = static_cast<double>(run_time.count()) /
                          static_cast<double>(median.count());
-    speed_ += kSpeedGain * (std::clamp(ratio, 0.1, 10.0) - speed_);
+    const double gain = std::max(kSpeedGain, 1 / (samples() + 1));
+    speed_ += gain * (std::clamp(ratio, 0.1, 10.0) - speed_);
   }
   if (samples() > kMaxSamples) {
     successes_ /= 2;
--- a/src/decision/routing.cc
+++ b/src/decision/routing.cc
@@ -2,11 +2,13 @@
 
 #include <algorithm>
 #include <random>
+#include <utility>
 
 namespace egretrack::decision {
 namespace {
 
-// Sends only on credit, to the agent that is expected to start and end first.
+// Sends only on credit, to the fastest agent: a credit stands for a slot, so
+// that the run time alone decides when the task ends.
 class credit_routing final : public routing_strategy {
  public:
   bool MaySend(const entry_agent& agent) const override {
@@ -21,8 +23,8 @@
   bool uses_credits() const override { return true; }
 
  private:
-  static double Cost(const entry_agent& agent) {
-    return (agent.load() + 1) * agent.health.speed();
+  static std::pair<double, double> Cost(const entry_agent& agent) {
+    return {agent.health.speed(), agent.load()};
   }
 };
 
