--- a/testsuite/late_dispatch/scenario.lua
+++ b/testsuite/late_dispatch/scenario.lua
@@ -34,7 +34,7 @@
 print("on the same connection: "
   .. tostring(counter("reconnects") == reconnects))
 heal("a1", "e1")
--- A task sent before that would be fenced, and there is no other agent.
+-- A task sent before that would be refused first, and sent again.
 wait_until(function() return counter("reconnects") > reconnects end, 5000,
   "a1 opens a new connection")
 wait_usable("e1", 1)
--- a/testsuite/silent_connection_twice/scenario.lua
+++ b/testsuite/silent_connection_twice/scenario.lua
@@ -1,6 +1,6 @@
 -- Guards against a recovery that works once only: the connection that replaced
 -- a silent one goes silent as well, while tasks run and before they arrive.
--- A task that a1 never got is fenced there, so that it needs another agent.
+-- A task that a1 never got is fenced there and may go to the other agent.
 cluster{entries = 2, agents = 2}
 
 local tasks = echoes(6, "sleep=3000")
