Keep callers' faults out of the burn report, and count ends by error

Cause: a caller that sends requests which can never be served used up the error budget of the desk, and no metric told refusals apart. Change: an ended job carries its error; unknown kind or team, wrong sizes and deadlines, and cancellations are not recorded against the objective. egretrack_jobs_ended_total counts jobs by outcome and error. Figures: the new test finds 1 request and 0 missed after one answered and one empty job. Conclusion: a burn above 1 is the service's own.

--- a/src/decision/entry_settlement.cc
+++ b/src/decision/entry_settlement.cc
@@ -239,6 +239,7 @@
   ended.desk = job.kind->object.desk;
   ended.kind = job.kind->object.name;
   ended.outcome = outcome;
+  ended.code = job.answer->code;
   ended.on_time = outcome == job_outcome::kAnswered && now_ <= job.deadline;
   ended.response = now_ - job.submitted;
   ended.task_count = job.task_count;
--- a/src/decision/entry_submission.cc
+++ b/src/decision/entry_submission.cc
@@ -234,6 +234,7 @@
   ended.desk = kind == nullptr ? std::string() : kind->object.desk;
   ended.kind = kind == nullptr ? std::string() : kind->object.name;
   ended.outcome = outcome;
+  ended.code = reason.code;
   ended.task_count = tasks;
   Emit(std::move(ended));
 }
--- a/src/decision/outcome.cc
+++ b/src/decision/outcome.cc
@@ -1,5 +1,6 @@
 #include "egretrack/decision/outcome.h"
 
+#include <algorithm>
 #include <array>
 
 namespace egretrack::decision {
@@ -117,6 +118,16 @@
   return "";
 }
 
+bool IsCallerFault(std::error_code code) {
+  static constexpr std::array<job_errc, 7> kCallerFaults = {
+      job_errc::kUnknownKind,     job_errc::kUnknownTeam,
+      job_errc::kNoTasks,         job_errc::kTooManyTasks,
+      job_errc::kPayloadTooLarge, job_errc::kInvalidDeadline,
+      job_errc::kCancelled};
+  return std::any_of(kCallerFaults.begin(), kCallerFaults.end(),
+                     [code](job_errc fault) { return code == fault; });
+}
+
 std::string_view Name(job_errc code) {
   const code_text* text = Find(code);
   return text != nullptr ? text->name : "";
--- a/src/entry/control.cc
+++ b/src/entry/control.cc
@@ -42,6 +42,14 @@
                  &decision::entry_counters::ejections},
 };
 
+std::string EndLabels(const decision::job_ended& ended) {
+  std::string labels = "outcome=\"";
+  labels += decision::Name(ended.outcome);
+  labels += "\",error=\"";
+  labels += decision::Name(static_cast<decision::job_errc>(ended.code.value()));
+  return labels + "\"";
+}
+
 }  // namespace
 
 control::control(std::unique_ptr<decision::entry_core> core,
@@ -109,10 +117,11 @@
 }
 
 void control::NoteEnded(const decision::job_ended& ended, monotonic_time now) {
-  // A refusal of an unknown kind belongs to no desk.
-  if (ended.desk.empty())
-    return;
-  burn_->Record(ended.desk, ended.on_time, now);
+  ++ended_jobs_[EndLabels(ended)];
+  // A refusal of an unknown kind belongs to no desk, and the objective of a
+  // desk does not cover what its callers get wrong or withdraw.
+  if (!ended.desk.empty() && !decision::IsCallerFault(ended.code))
+    burn_->Record(ended.desk, ended.on_time, now);
   if (ended.outcome != decision::job_outcome::kAnswered)
     return;
   const std::chrono::duration<double> response = ended.response;
@@ -126,6 +135,8 @@
     metrics_->SetCounter(entry.name, "", counters.*entry.value);
   metrics_->SetCounter("egretrack_malformed_frames_total", "",
                        malformed_frames_());
+  for (const auto& [labels, count] : ended_jobs_)
+    metrics_->SetCounter("egretrack_jobs_ended_total", labels, count);
   metrics_->SetGauge("egretrack_ready", "", core_->ready() ? 1 : 0);
   telemetry::SetProcessUsage(*metrics_);
   return metrics_->ToText();
--- a/src/entry/control.h
+++ b/src/entry/control.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <span>
 #include <string>
@@ -64,6 +65,7 @@
   std::atomic<bool>& ready_;
   const on_output output_;
   control_output pending_;
+  std::map<std::string, std::uint64_t> ended_jobs_;  // By metric labels.
 };
 
 }  // namespace egretrack::entry
--- a/src/entry/tests/entry_test.cc
+++ b/src/entry/tests/entry_test.cc
@@ -314,6 +314,29 @@
             "image/svg+xml");
 }
 
+// Guards against callers that use up the error budget of a desk by requests
+// that can never be served.
+TEST_F(Entry, CallerFaultsAreCountedButNotMissed) {
+  running_entry entry("a", table_->local_address());
+  echo_agent agent({entry.agents});
+  Publish(entry);
+  ASSERT_TRUE(Eventually([&] { return entry.IsReady(); }));
+  ASSERT_EQ(entry.Call("POST", "/v1/jobs", kJob).response.status, 200U);
+  const auto refused =
+      entry.Call("POST", "/v1/jobs", R"({"kind":"k","tasks":[]})");
+  EXPECT_EQ(Text(refused, "error"), "no_tasks");
+  const auto metrics = entry.Call("GET", "/metrics");
+  EXPECT_NE(metrics.response.body.find(
+                R"(egretrack_jobs_ended_total{outcome="refused",)"
+                R"(error="no_tasks"} 1)"),
+            std::string::npos)
+      << metrics.response.body;
+  const auto burn = entry.Call("GET", "/v1/report/burn");
+  EXPECT_NE(burn.response.body.find(R"("requests":1,"missed":0)"),
+            std::string::npos)
+      << burn.response.body;
+}
+
 // Guards against a shutdown that cuts a caller off.
 TEST_F(Entry, DrainWaitsForAnswers) {
   running_entry entry("a", table_->local_address());
--- a/src/include/egretrack/decision/entry_core.h
+++ b/src/include/egretrack/decision/entry_core.h
@@ -193,6 +193,7 @@
   std::string desk;
   std::string kind;
   job_outcome outcome = job_outcome::kAnswered;
+  std::error_code code;  // As in the answer.
   bool on_time = false;
   microseconds response{0};
   std::size_t task_count = 0;
--- a/src/include/egretrack/decision/outcome.h
+++ b/src/include/egretrack/decision/outcome.h
@@ -69,6 +69,10 @@
 std::string_view Name(task_outcome outcome);
 std::string_view Name(job_errc code);
 
+// True when the caller brought the outcome about, by a submission that could
+// never be served or by a cancellation.
+bool IsCallerFault(std::error_code code);
+
 struct task_answer {
   task_outcome outcome = task_outcome::kPending;
   std::string result;  // Only for kFinished.
