Use the terms of flow control for credits and dispatches

Cause: the agent's credits were lent, borrowed and told, and an entry held and let tasks; the design page and the messages speak of grants and outstanding tasks. Change: credit_lender is credit_granter, credits_lent in the status of an agent is credits_granted, Hold and Let are AddOutstanding and RemoveOutstanding, TakeBack is EndDispatch. Conclusion: one word for one thing.

--- a/src/agent/agent_http.cc
+++ b/src/agent/agent_http.cc
@@ -91,7 +91,7 @@
                             {"slots", report.slots},
                             {"slots_in_use", report.slots_in_use},
                             {"tasks_held", report.tasks_held},
-                            {"credits_lent", report.credits_lent},
+                            {"credits_granted", report.credits_granted},
                             {"records", report.records},
                             {"draining", report.draining}});
 }
--- a/src/decision/agent_core.cc
+++ b/src/decision/agent_core.cc
@@ -6,7 +6,7 @@
 #include <utility>
 
 #include "decision/agent_configuration.h"
-#include "decision/agent_credit_lender.h"
+#include "decision/agent_credit_granter.h"
 #include "decision/agent_endpoint.h"
 #include "decision/agent_life_cycles.h"
 #include "decision/agent_links.h"
@@ -26,10 +26,10 @@
       : options_(std::move(options)),
         endpoint_(options_.announcement_lease),
         links_(options_.entries, options_.clock_drift),
-        lender_(options_.slots + options_.overcommit,
-                options_.credit_floor,
-                options_.entries),
-        tasks_(options_, endpoint_, links_, lender_, counters_) {}
+        granter_(options_.slots + options_.overcommit,
+                 options_.credit_floor,
+                 options_.entries),
+        tasks_(options_, endpoint_, links_, granter_, counters_) {}
 
   void Handle(agent_event event,
               monotonic_time now,
@@ -109,7 +109,7 @@
   agent_counters counters_;
   agent_endpoint endpoint_;
   agent_links links_;
-  credit_lender lender_;
+  credit_granter granter_;
   agent_tasks tasks_;
   drain_life_cycle drain_;
   agent_configuration configuration_;
@@ -179,7 +179,7 @@
   report.slots = options_.slots;
   report.slots_in_use = tasks_.running();
   report.tasks_held = static_cast<std::uint32_t>(tasks_.held());
-  report.credits_lent = lender_.outstanding();
+  report.credits_granted = granter_.outstanding();
   report.records = tasks_.records();
   report.draining = draining();
   turn.commands.push_back(give_agent_report{event.token, std::move(report)});
@@ -192,15 +192,15 @@
                             agent_turn& turn) {
   if (!links_[entry].TakeReply(message, turn.now))
     return;
-  lender_.Reach(entry);
-  lender_.SetDemand(entry, message.queue_length);
+  granter_.Reach(entry);
+  granter_.SetDemand(entry, message.queue_length);
   ExchangeConfiguration(turn, entry, message);
 }
 
 void core::OnRelease(wire::release& message,
                      entry_index& entry,
                      agent_turn& /*turn*/) {
-  lender_.Release(entry, message.released_total);
+  granter_.Release(entry, message.released_total);
 }
 
 void core::OnDispatch(wire::dispatch& message,
@@ -250,7 +250,7 @@
 
 void core::Open(agent_turn& turn, entry_index entry) {
   links_[entry].Open(turn.now);
-  lender_.Open(entry);
+  granter_.Open(entry);
   turn.commands.push_back(open_connection{entry, links_[entry].number()});
   wire::hello hello;
   hello.agent = options_.agent;
@@ -271,7 +271,7 @@
   heartbeat.slots = options_.slots;
   heartbeat.slots_in_use = tasks_.running();
   heartbeat.config_version = configuration_.version();
-  heartbeat.granted_total = lender_.Tell(entry);
+  heartbeat.granted_total = granter_.Tell(entry);
   heartbeat.draining = draining();
   links_.Send(turn, entry, std::move(heartbeat));
 }
@@ -319,23 +319,23 @@
   if (draining())
     reason = wire::task_reason::kDraining;
   tasks_.Close(reason);
-  lender_.SetLending(reason == wire::task_reason::kNone && !options_.push);
+  granter_.SetGranting(reason == wire::task_reason::kNone && !options_.push);
 }
 
 // Does what may follow from any event.
 void core::Settle(agent_turn& turn) {
-  lender_.Lend(std::nullopt);
+  granter_.Grant(std::nullopt);
   for (entry_index entry = 0; entry < links_.size(); ++entry)
     SendCreditMessages(turn, entry);
   AdvanceDrain(turn);
 }
 
 void core::SendCreditMessages(agent_turn& turn, entry_index entry) {
-  if (lender_.NeedsGrant(entry)) {
+  if (granter_.NeedsGrant(entry)) {
     ++counters_.credit_messages;
-    links_.Send(turn, entry, wire::grant{lender_.Tell(entry)});
+    links_.Send(turn, entry, wire::grant{granter_.Tell(entry)});
   }
-  const std::uint32_t idle = lender_.Recallable(entry);
+  const std::uint32_t idle = granter_.Recallable(entry);
   if (idle > 0 && links_[entry].MayRecall(turn.now)) {
     ++counters_.credit_messages;
     links_.Send(turn, entry, wire::recall{idle});
--- a/src/decision/agent_credit_lender.h
+++ b/src/decision/agent_credit_granter.h
@@ -1,5 +1,5 @@
-#ifndef EGRETRACK_DECISION_AGENT_CREDIT_LENDER_H_
-#define EGRETRACK_DECISION_AGENT_CREDIT_LENDER_H_
+#ifndef EGRETRACK_DECISION_AGENT_CREDIT_GRANTER_H_
+#define EGRETRACK_DECISION_AGENT_CREDIT_GRANTER_H_
 
 #include <cstddef>
 #include <cstdint>
@@ -10,21 +10,21 @@
 
 namespace egretrack::decision {
 
-// Lends the worker's capacity to entries as credits. Keeps tasks held plus
+// Grants the worker's capacity to entries as credits. Keeps tasks held plus
 // credits outstanding at or below the capacity. Totals are cumulative per
 // connection, so that repeated and reordered messages are harmless.
-class credit_lender {
+class credit_granter {
  public:
-  credit_lender(std::uint32_t capacity,
-                std::uint32_t floor,
-                std::size_t entries);
+  credit_granter(std::uint32_t capacity,
+                 std::uint32_t floor,
+                 std::size_t entries);
 
   // A new connection: the credits of the one before are void.
   void Open(entry_index entry);
-  // The entry answered on its connection and may borrow.
+  // The entry answered on its connection and may get credits.
   void Reach(entry_index entry);
-  // While closed, nothing is lent; what is outstanding stays counted.
-  void SetLending(bool lending) { lending_ = lending; }
+  // While closed, nothing is granted; what is outstanding stays counted.
+  void SetGranting(bool granting) { granting_ = granting; }
 
   // A dispatch arrived. False when the entry held no credit for it.
   bool Spend(entry_index entry);
@@ -35,15 +35,15 @@
   void AddTask() { ++tasks_; }
   void EndTask() { --tasks_; }
 
-  // Lends what is free: the floor of each entry first, then one by one to the
+  // Grants what is free: the floor of each entry first, then one by one to the
   // entry with the most unserved demand. `reporting` is about to get a message
   // that can carry the grant.
-  void Lend(std::optional<entry_index> reporting);
+  void Grant(std::optional<entry_index> reporting);
 
   // The total for a message to the entry, which is thereby told.
   std::uint64_t Tell(entry_index entry);
   // True when the entry waits for credits, knows of none that it could use,
-  // and some were lent that it was not told of.
+  // and some were granted that it was not told of.
   bool NeedsGrant(entry_index entry) const;
   // Credits that the entry holds without need while others lack them.
   std::uint32_t Recallable(entry_index entry) const;
@@ -70,16 +70,16 @@
   };
 
   std::uint32_t free() const;
-  void LendFloors();
+  void GrantFloors();
   account* MostInNeed(std::optional<entry_index> reporting);
 
   const std::uint32_t capacity_;
   const std::uint32_t floor_;
-  bool lending_ = false;
+  bool granting_ = false;
   std::uint32_t tasks_ = 0;  // Held or running.
   std::vector<account> accounts_;
 };
 
 }  // namespace egretrack::decision
 
-#endif  // EGRETRACK_DECISION_AGENT_CREDIT_LENDER_H_
+#endif  // EGRETRACK_DECISION_AGENT_CREDIT_GRANTER_H_
--- a/src/decision/agent_tasks.cc
+++ b/src/decision/agent_tasks.cc
@@ -53,14 +53,14 @@
 agent_tasks::agent_tasks(const agent_options& options,
                          const agent_endpoint& endpoint,
                          agent_links& links,
-                         credit_lender& lender,
+                         credit_granter& granter,
                          agent_counters& counters)
     : slots_(options.slots),
       push_(options.push),
       surely_kept_(SurelyKept(options)),
       endpoint_(endpoint),
       links_(links),
-      lender_(lender),
+      granter_(granter),
       counters_(counters),
       records_(options.max_records, options.retention) {}
 
@@ -68,8 +68,8 @@
                            entry_index entry,
                            wire::dispatch& dispatch) {
   ++counters_.dispatches;
-  const bool had_credit = lender_.Spend(entry);
-  lender_.SetDemand(entry, dispatch.queue_length);
+  const bool had_credit = granter_.Spend(entry);
+  granter_.SetDemand(entry, dispatch.queue_length);
   const kept_task* kept = records_.Find(dispatch.job, dispatch.task);
   if (kept != nullptr && !IsSentAnew(dispatch, *kept)) {
     ++counters_.duplicates;
@@ -126,7 +126,7 @@
   kept->ticket = held_.Push({std::move(dispatch.job), dispatch.task,
                              std::move(dispatch.kind),
                              std::move(dispatch.payload), start_before});
-  lender_.AddTask();
+  granter_.AddTask();
   StartHeld(turn);
 }
 
@@ -166,7 +166,7 @@
   kept->run_time =
       std::max(microseconds(0), microseconds(turn.now - kept->started));
   --running_;
-  lender_.EndTask();
+  granter_.EndTask();
   StartHeld(turn);
   Conclude(turn, ended.job, ended.task, *kept);
 }
@@ -235,7 +235,7 @@
   ++counters_.refusals;
   kept.reason = reason;
   kept.cycle.Apply(task_step::kRefuse);
-  lender_.EndTask();
+  granter_.EndTask();
   Conclude(turn, job, task, kept);
 }
 
@@ -270,14 +270,14 @@
   links_.Send(turn, entry, std::move(answer));
 }
 
-// The freed slot or credit is lent first, so that the grant rides on the
+// The freed slot or credit is granted first, so that the grant travels with the
 // report.
 void agent_tasks::Conclude(agent_turn& turn,
                            const job_id& job,
                            task_index task,
                            kept_task& kept) {
   records_.CloseTask(job, task, turn.now);
-  lender_.Lend(kept.entry);
+  granter_.Grant(kept.entry);
   Report(turn, kept.entry, kept.dispatch, job, task, kept);
 }
 
@@ -302,7 +302,7 @@
         std::max(microseconds(0), microseconds(kept.started - kept.arrived));
     report.run_time = kept.run_time;
   }
-  report.granted_total = lender_.Tell(entry);
+  report.granted_total = granter_.Tell(entry);
   report.result = kept.result;
   links_[entry].ExpectConfirmation();
   links_.Send(turn, entry, std::move(report));
--- a/src/decision/agent_tasks.h
+++ b/src/decision/agent_tasks.h
@@ -4,7 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 
-#include "decision/agent_credit_lender.h"
+#include "decision/agent_credit_granter.h"
 #include "decision/agent_endpoint.h"
 #include "decision/agent_links.h"
 #include "decision/task_queue.h"
@@ -20,7 +20,7 @@
   agent_tasks(const agent_options& options,
               const agent_endpoint& endpoint,
               agent_links& links,
-              credit_lender& lender,
+              credit_granter& granter,
               agent_counters& counters);
 
   void Dispatch(agent_turn& turn, entry_index entry, wire::dispatch& dispatch);
@@ -85,7 +85,7 @@
   const microseconds surely_kept_;  // Of a job's age on its home's clock.
   const agent_endpoint& endpoint_;
   agent_links& links_;
-  credit_lender& lender_;
+  credit_granter& granter_;
   agent_counters& counters_;
   wire::task_reason closed_ = wire::task_reason::kNoEndpoint;
   std::uint32_t running_ = 0;
--- a/src/decision/entry_agent.cc
+++ b/src/decision/entry_agent.cc
@@ -4,7 +4,7 @@
 
 namespace egretrack::decision {
 
-void entry_agent::Hold(entry_job& job, task_index task) {
+void entry_agent::AddOutstanding(entry_job& job, task_index task) {
   entry_task& held = job.tasks[task];
   held.holder = this;
   held.holder_slot = outstanding.size();
@@ -12,7 +12,7 @@
   long_outstanding += held.counts_long ? 1 : 0;
 }
 
-void entry_agent::Let(entry_job& job, task_index task) {
+void entry_agent::RemoveOutstanding(entry_job& job, task_index task) {
   entry_task& held = job.tasks[task];
   const outstanding_task last = outstanding.back();
   outstanding[held.holder_slot] = last;
--- a/src/decision/entry_agent.h
+++ b/src/decision/entry_agent.h
@@ -46,9 +46,8 @@
   };
   std::vector<outstanding_task> outstanding;
 
-  // Adds a task to, or removes it from, the outstanding ones.
-  void Hold(entry_job& job, task_index task);
-  void Let(entry_job& job, task_index task);
+  void AddOutstanding(entry_job& job, task_index task);
+  void RemoveOutstanding(entry_job& job, task_index task);
 
   // True when new work may be sent, credits and health aside.
   bool serving() const { return life.phase() == agent_phase::kServing; }
--- a/src/decision/entry_agents.cc
+++ b/src/decision/entry_agents.cc
@@ -68,7 +68,7 @@
 void entry_core_impl::LoseOutstanding(entry_agent& agent) {
   while (!agent.outstanding.empty()) {
     const entry_agent::outstanding_task lost = agent.outstanding.back();
-    TakeBack(*lost.job, lost.task);
+    EndDispatch(*lost.job, lost.task);
     SettleUnknown(*lost.job, lost.task);
   }
 }
@@ -169,7 +169,7 @@
                                 wire::task_report& report) {
   entry_agent& agent = *job.tasks[task].holder;
   const bool trial = job.tasks[task].trial;
-  TakeBack(job, task);
+  EndDispatch(job, task);
   job.tasks[task].excluded.push_back(
       {agent.agent_incarnation, now_ + kRefusalPause});
   if (report.reason == wire::task_reason::kEndpointRefused)
@@ -193,7 +193,7 @@
   if (job.tasks[task].trial)
     agent.health.EndTrial(true, now_);
   profile.Add(report.run_time);
-  TakeBack(job, task);
+  EndDispatch(job, task);
   job.tasks[task].result = std::move(report.result);
   Settle(job, task, task_outcome::kFinished);
 }
@@ -203,7 +203,7 @@
                                wire::task_report& report) {
   entry_agent& agent = *job.tasks[task].holder;
   const bool trial = job.tasks[task].trial;
-  TakeBack(job, task);
+  EndDispatch(job, task);
   JudgeFailure(agent, *job.kind, report.run_time, trial);
   Settle(job, task, task_outcome::kFailed);
 }
@@ -213,7 +213,7 @@
                             wire::task_report& report) {
   entry_agent& agent = *job.tasks[task].holder;
   const bool trial = job.tasks[task].trial;
-  TakeBack(job, task);
+  EndDispatch(job, task);
   // Its record keeps it from starting the task again.
   job.tasks[task].excluded.push_back(
       {agent.agent_incarnation, monotonic_time::max()});
@@ -262,7 +262,7 @@
 }
 
 // The agent's part of what waits. If each agent were told of the whole queue,
-// all of them would lend credits for the same tasks.
+// all of them would grant credits for the same tasks.
 std::uint32_t entry_core_impl::QueueLength(const entry_agent& agent) const {
   std::size_t length = 0;
   for (const kind_state* kind : agent.kinds) {
--- a/src/decision/entry_core_impl.h
+++ b/src/decision/entry_core_impl.h
@@ -190,7 +190,7 @@
   void OnSettleBound(std::uint64_t sequence);
   void RunWatches(std::deque<watch>& watches);
   void Query(const entry_job& job, task_index task);
-  void TakeBack(entry_job& job, task_index task);
+  void EndDispatch(entry_job& job, task_index task);
   void MarkSettled(entry_job& job, task_index index, task_outcome outcome);
   void Settle(entry_job& job, task_index task, task_outcome outcome);
   void SettleUnknown(entry_job& job, task_index task);
--- a/src/decision/entry_dispatch.cc
+++ b/src/decision/entry_dispatch.cc
@@ -171,7 +171,7 @@
   if (task.trial)
     agent.health.NoteTrial();
   agent.credits.Spend();
-  agent.Hold(job, index);
+  agent.AddOutstanding(job, index);
   first_watches_.push_back(
       {now_ + kFirstWatch, job.sequence, index, task.dispatch});
   ++counters_.dispatches;
--- a/src/decision/entry_settlement.cc
+++ b/src/decision/entry_settlement.cc
@@ -81,7 +81,7 @@
       continue;
     if (task.trial)
       task.holder->health.AbandonTrial();
-    TakeBack(*job, i);
+    EndDispatch(*job, i);
     MarkSettled(*job, i, task_outcome::kUnknown);
   }
   EndIfSettled(*job);
@@ -118,8 +118,8 @@
 }
 
 // Ends the dispatch of a task, whatever came of it.
-void entry_core_impl::TakeBack(entry_job& job, task_index task) {
-  job.tasks[task].holder->Let(job, task);
+void entry_core_impl::EndDispatch(entry_job& job, task_index task) {
+  job.tasks[task].holder->RemoveOutstanding(job, task);
   --job.kind->outstanding;
   --job.outstanding;
   job.quota->AddRunning(-1);
--- a/src/decision/tests/agent_core_test.cc
+++ b/src/decision/tests/agent_core_test.cc
@@ -273,7 +273,7 @@
   agent.Deliver(0, wire::release{1});
   agent.Pass(milliseconds(250));
   EXPECT_EQ(agent.Last<wire::heartbeat>(1).granted_total, 2U);
-  EXPECT_EQ(agent.Report().credits_lent, 3U);
+  EXPECT_EQ(agent.Report().credits_granted, 3U);
 }
 
 // Guards against a full table that forgets, or refuses without a record.
--- a/src/decision/tests/agent_property_test.cc
+++ b/src/decision/tests/agent_property_test.cc
@@ -183,7 +183,8 @@
     RC_ASSERT(report.slots_in_use <= options_.slots);
     RC_ASSERT(report.slots_in_use == running_.size());
     if (!options_.push) {
-      RC_ASSERT(report.slots_in_use + report.tasks_held + report.credits_lent <=
+      RC_ASSERT(report.slots_in_use + report.tasks_held +
+                    report.credits_granted <=
                 options_.slots + options_.overcommit);
     }
   }
--- a/src/include/egretrack/decision/agent_core.h
+++ b/src/include/egretrack/decision/agent_core.h
@@ -90,7 +90,7 @@
   std::uint32_t slots = 0;
   std::uint32_t slots_in_use = 0;
   std::uint32_t tasks_held = 0;  // Accepted, waiting for a slot.
-  std::uint32_t credits_lent = 0;
+  std::uint32_t credits_granted = 0;
   std::size_t records = 0;
   bool draining = false;
 };
@@ -117,7 +117,7 @@
   std::uint32_t entries = 1;  // Number of entries in the settings.
   std::uint32_t slots = 8;
   std::uint32_t overcommit = 1;    // Tasks held beyond the slots.
-  std::uint32_t credit_floor = 1;  // Lent to every reachable entry.
+  std::uint32_t credit_floor = 1;  // Granted to every reachable entry.
   bool push = false;  // Baselines: accept and queue tasks without credits.
   seconds retention{120};
   std::size_t max_records = 200000;
