Give each test process a ports file of its own

Cause: two tests of the agent process, run side by side by CTest, wrote and read the same ports file; in a run on a clean clone one found no file and the other talked to the first one's agent. Change: the name carries the process id; the same for the file of another test. Conclusion: the verdict no longer depends on which tests overlap.

--- a/src/agent/tests/agent_process_test.cc
+++ b/src/agent/tests/agent_process_test.cc
@@ -1,5 +1,7 @@
 #include "egretrack/agent/agent.h"
 
+#include <unistd.h>
+
 #include <gtest/gtest.h>
 
 #include <condition_variable>
@@ -100,7 +102,8 @@
     settings.failure_domain = "palermo-1";
     settings.http = "127.0.0.1:0";
     settings.entries = {entry_.address()};
-    settings.ports_file = testing::TempDir() + "agent_process_test.ports";
+    settings.ports_file = testing::TempDir() + "agent_process_test." +
+                          std::to_string(getpid()) + ".ports";
     agent_ = agent_process::Start(settings).value();
     const std::string ports = ReadFile(settings.ports_file).value();
     http_.port = static_cast<std::uint16_t>(std::stoi(ports.substr(7)));
--- a/src/base/tests/file_test.cc
+++ b/src/base/tests/file_test.cc
@@ -1,5 +1,9 @@
 #include "egretrack/base/file.h"
 
+#include <unistd.h>
+
+#include <string>
+
 #include <gtest/gtest.h>
 
 namespace egretrack {
@@ -21,7 +25,8 @@
 // Guards against a reader that sees half of a file, and against a failure that
 // goes unnoticed.
 TEST(ReplaceFile, ReplacesTheWholeText) {
-  const std::string path = testing::TempDir() + "replace_file_test";
+  const std::string path =
+      testing::TempDir() + "replace_file_test." + std::to_string(getpid());
   ASSERT_TRUE(ReplaceFile(path, "a longer text").has_value());
   ASSERT_TRUE(ReplaceFile(path, "short").has_value());
   EXPECT_EQ(ReadFile(path).value(), "short");
