Build frames with unknown enumerators from bytes

Change: the test changes the encoded bytes of the state and of the reason. It is as strict as before: both values must be rejected by the decoder.

--- a/src/wire/tests/codec_test.cc
+++ b/src/wire/tests/codec_test.cc
@@ -234,12 +234,22 @@
   task_report report;
   report.job = job;
   report.dispatch = dispatch_number{1};
-  ASSERT_TRUE(IsAccepted(report));
-  report.state = task_state{6};
-  EXPECT_FALSE(IsAccepted(report));
   report.state = task_state::kCut;
-  report.reason = task_reason{11};
-  EXPECT_FALSE(IsAccepted(report));
+  report.reason = task_reason::kEndpointCut;
+  ASSERT_TRUE(IsAccepted(report));
+  // The generated setters do not take unknown enumerators in debug builds, so
+  // the encoded fields 4 and 5 are changed.
+  const std::string frame = Encode(agent_message(report));
+  const std::string fields("\x20\x05\x28\x0a", 4);
+  const std::size_t position = frame.find(fields);
+  ASSERT_NE(position, std::string::npos);
+  ASSERT_EQ(frame.find(fields, position + 1), std::string::npos);
+  std::string unknown_state = frame;
+  unknown_state[position + 1] = 6;
+  EXPECT_FALSE(DecodeAgentFrame(AsBytes(unknown_state)).has_value());
+  std::string unknown_reason = frame;
+  unknown_reason[position + 3] = 11;
+  EXPECT_FALSE(DecodeAgentFrame(AsBytes(unknown_reason)).has_value());
 
   hello greeting;
   greeting.agent = "a1";
