--- a/cmake/options.cmake
+++ b/cmake/options.cmake
@@ -6,6 +6,7 @@
 # One folder for all programs, so that scenarios and the operator find them.
 set(CMAKE_RUNTIME_OUTPUT_DIRECTORY ${PROJECT_BINARY_DIR}/bin)
 
+option(EGRETRACK_TESTS "Build the unit tests, the stand-ins and the scenarios" ON)
 set(EGRETRACK_SANITIZER "" CACHE STRING "Value for -fsanitize, for example address,undefined or thread")
 
 find_program(CCACHE ccache)
@@ -20,7 +21,7 @@
   target_link_options(egretrack_options INTERFACE -fsanitize=${EGRETRACK_SANITIZER})
 endif()
 target_include_directories(egretrack_options INTERFACE ${PROJECT_SOURCE_DIR}/src/include)
-target_include_directories(egretrack_options INTERFACE ${PROJECT_SOURCE_DIR}/src)
+target_include_directories(egretrack_options INTERFACE ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR})
 
 # Asio is compiled once, in src/net/asio_impl.cc.
 target_compile_definitions(egretrack_options INTERFACE
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -2,14 +2,16 @@
 find_package(Boost 1.81 REQUIRED COMPONENTS json system)
 find_package(Threads REQUIRED)
 find_package(Protobuf REQUIRED)
-find_package(GTest REQUIRED)
-find_package(rapidcheck REQUIRED)
 find_package(PkgConfig REQUIRED)
 pkg_check_modules(ZMQ REQUIRED IMPORTED_TARGET libzmq)
 pkg_check_modules(LOG4CPLUS REQUIRED IMPORTED_TARGET log4cplus)
-pkg_check_modules(LUA REQUIRED IMPORTED_TARGET lua5.4)
 
-include(GoogleTest)
+if(EGRETRACK_TESTS)
+  find_package(GTest REQUIRED)
+  find_package(rapidcheck REQUIRED)
+  pkg_check_modules(LUA REQUIRED IMPORTED_TARGET lua5.4)
+  include(GoogleTest)
+endif()
 
 # egretrack_library(NAME PUBLIC libs PRIVATE libs): the sources of this folder
 # as library egretrack_NAME, and tests/*_test.cc as program NAME_test.
@@ -26,7 +28,7 @@
   endif()
 
   file(GLOB tests CONFIGURE_DEPENDS tests/*.cc)
-  if(tests)
+  if(EGRETRACK_TESTS AND tests)
     add_executable(${name}_test ${tests})
     target_link_libraries(${name}_test PRIVATE egretrack_${name} ${ARG_PRIVATE}
       rapidcheck GTest::gtest GTest::gtest_main)
--- a/src/agent/tests/frame_batch_test.cc
+++ b/src/agent/tests/frame_batch_test.cc
@@ -14,6 +14,10 @@
 class recording_dealer final : public net::frame_dealer {
  public:
   void Reconnect(std::uint32_t link) override { reconnected.push_back(link); }
+  void Connect(std::uint32_t link,
+               const net::tcp_address& /*address*/) override {
+    reconnected.push_back(link);
+  }
   void Send(std::uint32_t link, std::string frame) override {
     const auto decoded =
         wire::DecodeAgentFrame(std::as_bytes(std::span(frame)));
--- a/src/base/time.cc
+++ b/src/base/time.cc
@@ -1,16 +1,28 @@
 #include "egretrack/base/time.h"
 
+#include <ctime>
+
 namespace egretrack {
 namespace {
 
-const std::chrono::steady_clock::time_point kProcessStart =
-    std::chrono::steady_clock::now();
+constexpr std::int64_t kMicrosecondsPerSecond = 1'000'000;
+constexpr std::int64_t kNanosecondsPerMicrosecond = 1000;
+
+// The boot clock goes on while the machine is suspended, so that deadlines and
+// leases pass during a suspension as they do for everybody else.
+microseconds BootTime() {
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return microseconds(now.tv_sec * kMicrosecondsPerSecond +
+                      now.tv_nsec / kNanosecondsPerMicrosecond);
+}
+
+const microseconds kProcessStart = BootTime();
 
 }  // namespace
 
 monotonic_clock::time_point monotonic_clock::now() {
-  const auto elapsed = std::chrono::steady_clock::now() - kProcessStart;
-  return time_point(std::chrono::duration_cast<duration>(elapsed));
+  return time_point(BootTime() - kProcessStart);
 }
 
 wall_time WallNow() {
--- a/src/decision/outcome.cc
+++ b/src/decision/outcome.cc
@@ -44,6 +44,8 @@
               "the deadline passed before every task could run"},
     code_text{job_errc::kTableUnavailable, "table_unavailable",
               "the idempotency key could not be recorded"},
+    code_text{job_errc::kUnsupported, "unsupported",
+              "the job asks for something that this entry does not offer"},
     code_text{job_errc::kInvalidId, "invalid_id",
               "this entry did not issue the job id"},
     code_text{job_errc::kIdReused, "id_reused",
--- a/src/egretrackd/main.cc
+++ b/src/egretrackd/main.cc
@@ -3,12 +3,15 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <variant>
 
 #include <CLI/CLI.hpp>
 
 #include "egretrack/agent/agent.h"
 #include "egretrack/entry/entry.h"
+#include "egretrack/job_agent/job_agent.h"
+#include "egretrack/job_entry/job_entry.h"
 #include "egretrack/settings/settings.h"
 #include "egretrack/telemetry/log.h"
 
@@ -20,30 +23,64 @@
 constexpr int kExitInvalidSettings = 2;
 constexpr int kExitStartFailed = 3;
 
-// Blocks the shutdown signals in this and all later threads, so that only
-// WaitForSignals() sees them.
-sigset_t BlockShutdownSignals() {
+// Blocks the signals that this process handles in this and all later threads,
+// so that only HandleSignals() sees them.
+sigset_t BlockSignals() {
   sigset_t signals;
   sigemptyset(&signals);
   sigaddset(&signals, SIGTERM);
   sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
   pthread_sigmask(SIG_BLOCK, &signals, nullptr);
   return signals;
 }
 
+// A role whose settings may change while it runs.
+template <typename Process, typename Settings>
+concept reloadable = requires(Process& process, const Settings& settings) {
+  process.Reload(settings);
+};
+
+// Settings with a fault, or of another role, change nothing.
+template <typename Process, typename Settings>
+void Reload(Process& process, const std::string& path) {
+  const telemetry::logger log("daemon");
+  if constexpr (reloadable<Process, Settings>) {
+    const auto loaded = settings::LoadSettings(path);
+    const auto* changed = std::get_if<Settings>(&loaded.settings);
+    if (loaded.faults.empty() && changed != nullptr) {
+      process.Reload(*changed);
+      return;
+    }
+    for (const auto& fault : loaded.faults)
+      log.Error("Settings not reloaded: " + fault.ToString() + ".");
+  } else {
+    log.Warn("This role does not reload its settings; restart it.");
+  }
+}
+
 // Turns every shutdown signal into a drain; later ones change nothing.
-template <typename Process>
-void DrainOnSignals(sigset_t signals, std::shared_ptr<Process> process) {
-  std::thread([signals, process = std::move(process)] {
+template <typename Settings, typename Process>
+void HandleSignals(sigset_t signals,
+                   std::string path,
+                   std::shared_ptr<Process> process) {
+  std::thread([signals, path = std::move(path), process = std::move(process)] {
+    const telemetry::logger log("daemon");
     int signal = 0;
-    while (sigwait(&signals, &signal) == 0)
+    while (sigwait(&signals, &signal) == 0) {
+      if (signal == SIGHUP) {
+        Reload<Process, Settings>(*process, path);
+        continue;
+      }
+      log.Info("Stopping on signal " + std::to_string(signal) + ".");
       process->Drain();
+    }
   }).detach();
 }
 
 template <typename Process, typename Settings>
-int Run(const Settings& settings) {
-  const sigset_t signals = BlockShutdownSignals();
+int Run(const Settings& settings, const std::string& path) {
+  const sigset_t signals = BlockSignals();
   // A peer that closes its connection must not end the process.
   std::signal(SIGPIPE, SIG_IGN);
   const telemetry::logger log("daemon");
@@ -54,29 +91,39 @@
   }
   const std::shared_ptr<Process> process = std::move(*started);
   log.Info("Started as " + settings.id + ".");
-  DrainOnSignals(signals, process);
+  HandleSignals<Settings>(signals, path, process);
   process->Wait();
   log.Info("Stopped.");
   return kExitOk;
 }
 
 struct run_role {
+  const std::string& path;
+
   int operator()(const settings::entry_settings& settings) const {
     return Start<entry::entry_process>(settings);
   }
   int operator()(const settings::agent_settings& settings) const {
     return Start<agent::agent_process>(settings);
   }
+  int operator()(const settings::job_entry_settings& settings) const {
+    return Start<job_entry::job_entry_process>(settings);
+  }
+  int operator()(const settings::job_agent_settings& settings) const {
+    return Start<job_agent::job_agent_process>(settings);
+  }
 
   template <typename Process, typename Settings>
-  static int Start(const Settings& settings) {
+  int Start(const Settings& settings) const {
     const auto logging =
         telemetry::StartLogging(settings.log.level, settings.log.file);
     if (!logging) {
       std::fprintf(stderr, "%s\n", logging.error().ToString().c_str());
       return kExitInvalidSettings;
     }
-    return Run<Process>(settings);
+    const int code = Run<Process>(settings, path);
+    telemetry::StopLogging();
+    return code;
   }
 };
 
@@ -104,7 +151,7 @@
     return kExitInvalidSettings;
   if (check)
     return kExitOk;
-  return std::visit(run_role{}, loaded.settings);
+  return std::visit(run_role{path}, loaded.settings);
 }
 
 }  // namespace
--- /dev/null
+++ b/src/include/egretrack/base/room.h
@@ -0,0 +1,38 @@
+#ifndef EGRETRACK_BASE_ROOM_H_
+#define EGRETRACK_BASE_ROOM_H_
+
+#include <cstdint>
+
+namespace egretrack {
+
+// Resources of a worker, or what a task needs of them. A difference may be
+// negative.
+struct room {
+  std::int64_t cpu_milli = 0;  // Thousandths of a core.
+  std::int64_t memory_mb = 0;
+  std::int64_t gpus = 0;
+
+  bool Fits(const room& need) const {
+    return need.cpu_milli <= cpu_milli && need.memory_mb <= memory_mb &&
+           need.gpus <= gpus;
+  }
+  room& operator+=(const room& other) {
+    cpu_milli += other.cpu_milli;
+    memory_mb += other.memory_mb;
+    gpus += other.gpus;
+    return *this;
+  }
+  room& operator-=(const room& other) {
+    cpu_milli -= other.cpu_milli;
+    memory_mb -= other.memory_mb;
+    gpus -= other.gpus;
+    return *this;
+  }
+  friend room operator+(room a, const room& b) { return a += b; }
+  friend room operator-(room a, const room& b) { return a -= b; }
+  bool operator==(const room&) const = default;
+};
+
+}  // namespace egretrack
+
+#endif  // EGRETRACK_BASE_ROOM_H_
--- a/src/include/egretrack/decision/outcome.h
+++ b/src/include/egretrack/decision/outcome.h
@@ -49,6 +49,7 @@
   kCancelled,
   kDeadlinePassed,
   kTableUnavailable,
+  kUnsupported,
   // Says nothing about whether an earlier submission ran.
   kInvalidId,
   kIdReused,
--- a/src/include/egretrack/net/frame_link.h
+++ b/src/include/egretrack/net/frame_link.h
@@ -44,6 +44,8 @@
   virtual ~frame_dealer() = default;
   // Closes the link's socket, drops what it still holds, and connects anew.
   virtual void Reconnect(std::uint32_t link) = 0;
+  // The same to another address; `link` may be the first that is not used yet.
+  virtual void Connect(std::uint32_t link, const tcp_address& address) = 0;
   virtual void Send(std::uint32_t link, std::string frame) = 0;
 };
 
--- a/src/include/egretrack/net/http.h
+++ b/src/include/egretrack/net/http.h
@@ -96,6 +96,9 @@
   // Stops accepting connections, closes idle ones, answers open requests with
   // "Connection: close". Returns at once.
   virtual void Drain() = 0;
+  // Goes on accepting, but answers every request with "Connection: close", so
+  // that callers turn to other servers between two requests.
+  virtual void CloseAfterResponses() = 0;
   // True when no request waits for its response to be sent.
   virtual bool idle() const = 0;
 };
--- a/src/include/egretrack/objects/check.h
+++ b/src/include/egretrack/objects/check.h
@@ -48,6 +48,10 @@
 // Parses and checks a TOML document as one set.
 check_outcome CheckDocument(std::string_view document);
 
+// Sorts and checks a set that was not read from a document, as CheckDocument()
+// does. Returns every fault found.
+std::vector<config_fault> CheckSet(object_set& set);
+
 // Checks a document and makes a version of it. Errors: the first fault.
 result<configuration_ptr> LoadConfiguration(std::uint64_t version,
                                             std::string_view document);
--- a/src/include/egretrack/objects/configuration.h
+++ b/src/include/egretrack/objects/configuration.h
@@ -26,6 +26,15 @@
   milliseconds expected{200};
   std::uint32_t max_tasks = 1200;
   std::uint32_t max_payload_bytes = 16384;
+  // Select requests that name no kind: those for this host whose path begins
+  // with this prefix and with no longer one. Empty: by name only.
+  std::string host;
+  std::string path_prefix;
+  std::uint32_t priority = 0;      // 0 comes first.
+  std::uint32_t max_attempts = 1;  // Failed runs of a task that may run again.
+  // A job is on time within stretch x its longest chain of work + target.
+  double stretch = 1;
+  milliseconds target{0};
 };
 
 // A class of endpoint instances that share a desk and their kinds.
--- /dev/null
+++ b/src/include/egretrack/scheduler/members.h
@@ -0,0 +1,20 @@
+#ifndef EGRETRACK_SCHEDULER_MEMBERS_H_
+#define EGRETRACK_SCHEDULER_MEMBERS_H_
+
+#include <cstdint>
+#include <span>
+#include <vector>
+
+#include "egretrack/wire/run_messages.h"
+
+namespace egretrack::scheduler {
+
+// Sorts a list of entries by id and address, and drops duplicates.
+void Normalize(std::vector<wire::entry_member>& members);
+
+// Equal lists have equal hashes, in every process. The list is normalized.
+std::uint64_t HashMembers(std::span<const wire::entry_member> members);
+
+}  // namespace egretrack::scheduler
+
+#endif  // EGRETRACK_SCHEDULER_MEMBERS_H_
--- a/src/include/egretrack/settings/settings.h
+++ b/src/include/egretrack/settings/settings.h
@@ -42,7 +42,7 @@
 
 struct log_settings {
   std::string level = "info";  // trace, debug, info, warn, error, off
-  std::string file;            // Empty: standard error.
+  std::string file;            // Empty: standard output.
 };
 
 struct peer {
@@ -103,7 +103,52 @@
   log_settings log;
 };
 
-using daemon_settings = std::variant<entry_settings, agent_settings>;
+// Table [job_entry] of a file with role = "job_entry": an entry for jobs that
+// are not kept, on a platform that finds processes through its store.
+struct job_entry_settings {
+  std::string id;
+  std::string failure_domain;
+  std::string jobs;       // Listens here for callers.
+  std::string readiness;  // Listens here for the balancer's looks.
+  std::string agents;     // Listens here for agents; written to the store.
+  std::string internal;   // Listens here for metrics and other entries.
+  std::string store;
+  // Addresses of some processes, of which only the hosts are used.
+  std::vector<std::string> seeds;
+  std::size_t mailbox_capacity = 65536;
+  std::uint32_t connections = 3000;
+  std::size_t max_jobs = 4096;
+  milliseconds store_timeout{500};
+  milliseconds store_watch{2000};  // How long the store holds a watch.
+  milliseconds drain_grace{2500};
+  milliseconds drain_bound{5000};
+  std::string ports_file;
+  log_settings log;
+};
+
+// Table [job_agent] of a file with role = "job_agent", beside one worker.
+struct job_agent_settings {
+  std::string id;
+  std::string failure_domain;
+  std::string reports;   // Listens here for the worker.
+  std::string internal;  // Listens here for metrics.
+  std::string store;
+  std::vector<std::string> seeds;  // As for an entry.
+  std::uint16_t entry_port = 0;    // On which every entry listens for agents.
+  std::size_t mailbox_capacity = 65536;
+  milliseconds store_timeout{500};
+  milliseconds entry_silence{600};
+  milliseconds lease{700};
+  milliseconds renew_interval{250};
+  milliseconds drain_bound{5000};
+  std::string ports_file;
+  log_settings log;
+};
+
+using daemon_settings = std::variant<entry_settings,
+                                     agent_settings,
+                                     job_entry_settings,
+                                     job_agent_settings>;
 
 struct settings_outcome {
   daemon_settings settings;
--- a/src/include/egretrack/telemetry/log.h
+++ b/src/include/egretrack/telemetry/log.h
@@ -20,10 +20,15 @@
   kOff
 };
 
-// Sets up logging of this process. `file` empty: standard error.
+// Sets up logging of this process, which never waits for the output. `file`
+// empty: standard output.
 // Errors: errc::kInvalidArgument for an unknown level.
 result<void> StartLogging(std::string_view level, std::string_view file);
 
+// Writes out what is buffered; nothing is logged after it until StartLogging()
+// is called again.
+void StopLogging();
+
 // Writes with the fixed prefix of one part, for example "entry.http".
 class logger {
  public:
--- a/src/include/egretrack/telemetry/metrics.h
+++ b/src/include/egretrack/telemetry/metrics.h
@@ -28,6 +28,11 @@
   virtual void Observe(std::string_view name,
                        std::string_view labels,
                        double value) = 0;
+  // Adds one duration to a histogram with fixed bounds from 1 ms to 10 s;
+  // `name` ends in _seconds.
+  virtual void ObserveDuration(std::string_view name,
+                               std::string_view labels,
+                               microseconds value) = 0;
   virtual std::string ToText() const = 0;
 };
 
--- /dev/null
+++ b/src/include/egretrack/wire/run_messages.h
@@ -0,0 +1,160 @@
+#ifndef EGRETRACK_WIRE_RUN_MESSAGES_H_
+#define EGRETRACK_WIRE_RUN_MESSAGES_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "egretrack/base/ids.h"
+#include "egretrack/base/room.h"
+#include "egretrack/base/time.h"
+
+// Messages between entries and agents for jobs that are not kept: their tasks
+// run under a lease that the agent holds at its worker, and may run again.
+namespace egretrack::wire {
+
+enum class run_end : std::uint8_t {
+  kDone = 1,
+  kFailed,   // The worker reported a failure.
+  kRefused,  // Never ran, and will not.
+  kLost,     // Ran and ended without a result: stopped, lapsed, worker gone.
+};
+
+enum class run_reason : std::uint8_t {
+  kNone = 0,
+  kNoWorker,
+  kDraining,
+  kTooLate,        // The entry's limit for a start had passed.
+  kQueuedTooLong,  // Another agent may have room sooner.
+  kNoRoom,         // The worker refused it for want of room.
+  kWorkerRefused,
+  kUnanswered,  // The start got no answer; it was stopped and can't happen now.
+  kStalled,     // Made no progress.
+  kLeaseLapsed,
+  kWorkerLost,
+  kEntrySilent,
+};
+
+// Stable names for logs, for example "queued_too_long".
+std::string_view Name(run_end end);
+std::string_view Name(run_reason reason);
+
+// An entry process that agents connect to.
+struct entry_member {
+  std::string id;
+  std::string address;  // "ip:port", for agents.
+
+  bool operator==(const entry_member&) const = default;
+};
+
+// ---- Agent to entry -------------------------------------------------------
+
+// What the agent says of its worker's load. Newer than every report before it.
+struct worker_load {
+  std::uint64_t dispatches_seen = 0;  // Received on this connection.
+  room free;                          // Less what is queued.
+  std::uint32_t queued = 0;           // Tasks that wait for room.
+  microseconds wait{0};  // Predicted, for a further task of common size.
+
+  bool operator==(const worker_load&) const = default;
+};
+
+struct worker_facts {
+  std::string id;
+  std::string desk;
+  std::vector<std::string> labels;  // The first is the class of machine.
+  room capacity;
+
+  bool operator==(const worker_facts&) const = default;
+};
+
+struct agent_beat {
+  std::uint64_t sequence = 0;
+  std::string failure_domain;
+  std::uint64_t members_hash = 0;    // Of the entries that the agent knows.
+  std::vector<worker_facts> worker;  // One, or none without a worker.
+  bool draining = false;             // The agent or its worker is leaving.
+  // Every run of earlier connections and incarnations of the agent has ended.
+  bool settled = false;
+
+  bool operator==(const agent_beat&) const = default;
+};
+
+struct run_report {
+  std::uint64_t job = 0;  // As in the dispatch.
+  std::uint32_t task = 0;
+  std::uint32_t attempt = 0;
+  run_end end = run_end::kRefused;
+  run_reason reason = run_reason::kNone;
+  microseconds queued{0};
+  microseconds ran{0};
+
+  bool operator==(const run_report&) const = default;
+};
+
+using agent_run_message = std::variant<agent_beat, run_report>;
+
+struct agent_run_frame {
+  std::string agent;
+  incarnation agent_incarnation{};
+  connection_number connection{};
+  worker_load load;
+  std::vector<agent_run_message> messages;
+
+  bool operator==(const agent_run_frame&) const = default;
+};
+
+// ---- Entry to agent -------------------------------------------------------
+
+struct beat_reply {
+  std::uint64_t sequence = 0;  // Of the beat that is answered.
+  std::uint64_t members_hash = 0;
+  std::vector<entry_member> members;  // Empty when the agent's hash is equal.
+  // The entry lost frames of this connection; the agent is to open a new one.
+  bool reconnect = false;
+
+  bool operator==(const beat_reply&) const = default;
+};
+
+struct run_dispatch {
+  std::uint64_t job = 0;  // Numbers the entry's jobs.
+  std::uint32_t task = 0;
+  std::uint32_t attempt = 0;  // Counts the dispatches of the task, from 1.
+  std::string job_key;        // The caller's name of the job.
+  std::uint32_t step = 0;
+  std::uint32_t index = 0;  // Within the step.
+  room need;
+  std::string spec;
+  microseconds predicted{0};    // Run time on this worker.
+  monotonic_time start_by{};    // On the entry's clock.
+  microseconds target{0};       // From now; after it the result is late.
+  microseconds queue_bound{0};  // Return it if it has not started by then.
+
+  bool operator==(const run_dispatch&) const = default;
+};
+
+// Stops tasks of a job; all of them when none is named.
+struct run_cancel {
+  std::uint64_t job = 0;
+  std::vector<std::uint32_t> tasks;
+
+  bool operator==(const run_cancel&) const = default;
+};
+
+using entry_run_message = std::variant<beat_reply, run_dispatch, run_cancel>;
+
+struct entry_run_frame {
+  connection_number connection{};
+  std::string entry;
+  incarnation entry_incarnation{};
+  monotonic_time entry_time{};  // The entry's clock when it made the frame.
+  std::vector<entry_run_message> messages;
+
+  bool operator==(const entry_run_frame&) const = default;
+};
+
+}  // namespace egretrack::wire
+
+#endif  // EGRETRACK_WIRE_RUN_MESSAGES_H_
--- /dev/null
+++ b/src/job_agent/job_agent_control.cc
@@ -0,0 +1,192 @@
+#include "job_agent/job_agent_control.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "egretrack/base/event_table.h"
+#include "egretrack/telemetry/process_usage.h"
+#include "egretrack/wire/run_codec.h"
+
+namespace egretrack::job_agent {
+namespace {
+
+constexpr unsigned kOk = 200;
+constexpr milliseconds kReadRetry{300};
+// While no entry is heard: entries may all have moved.
+constexpr milliseconds kReadAgain{2000};
+
+}  // namespace
+
+job_agent_control::job_agent_control(
+    std::unique_ptr<scheduler::run_supervisor> core,
+    control_parts parts)
+    : core_(std::move(core)),
+      parts_(std::move(parts)),
+      metrics_(telemetry::metrics::Create()),
+      log_("agent.jobs", {}) {}
+
+monotonic_time job_agent_control::OnBatch(std::span<control_event> batch,
+                                          monotonic_time now) {
+  using events =
+      event_table<control_event, &job_agent_control::OnSupervisorEvent,
+                  &job_agent_control::OnEntries, &job_agent_control::OnSeeds,
+                  &job_agent_control::OnMetrics>;
+  for (control_event& event : batch)
+    events::Call(*this, event, now);
+  const monotonic_time wake = core_->Advance(now, commands_);
+  PerformCommands(now);
+  log_.ReportLeftOut(now);
+  return std::min(wake, ReadEntries(now));
+}
+
+// ---- Events ---------------------------------------------------------------
+
+void job_agent_control::OnSupervisorEvent(scheduler::supervisor_event& event,
+                                          monotonic_time& now) {
+  core_->Handle(std::move(event), now, commands_);
+}
+
+void job_agent_control::OnSeeds(seeds_changed& event, monotonic_time& now) {
+  LogEvent("settings_reloaded", false,
+           {{"seeds", static_cast<std::int64_t>(event.members.size())}}, now);
+  core_->Handle(scheduler::entries_found{std::move(event.members)}, now,
+                commands_);
+}
+
+void job_agent_control::OnEntries(entries_answer& event, monotonic_time& now) {
+  reading_ = false;
+  if (!event.page) {
+    next_read_ = now + kReadRetry;
+    if (!std::exchange(store_lost_, true)) {
+      LogEvent("store_lost", true, {{"reason", event.page.error().ToString()}},
+               now);
+    }
+    return;
+  }
+  if (std::exchange(store_lost_, false))
+    LogEvent("store_regained", false, {}, now);
+  entries_read_ = true;
+  next_read_ = now + kReadAgain;
+  scheduler::entries_found found;
+  for (platform::store_row& row : event.page->rows)
+    found.members.push_back({std::move(row.key), std::move(row.value)});
+  core_->Handle(std::move(found), now, commands_);
+}
+
+monotonic_time job_agent_control::ReadEntries(monotonic_time now) {
+  const bool wanted = !entries_read_ || core_->gauges().entries == 0;
+  if (!wanted || reading_)
+    return monotonic_time::max();
+  if (now < next_read_)
+    return next_read_;
+  reading_ = true;
+  parts_.store.Read(
+      platform::kEntriesTable, "",
+      [&events = parts_.events](result<platform::store_page> page) {
+        events.PushRequired(entries_answer{std::move(page)});
+      });
+  return monotonic_time::max();
+}
+
+void job_agent_control::OnMetrics(metrics_request& event,
+                                  monotonic_time& /*now*/) {
+  const scheduler::supervisor_counters& counters = core_->counters();
+  const auto count = [this](std::string_view name, std::uint64_t value) {
+    metrics_->SetCounter(name, "", value);
+  };
+  count("egretrack_run_dispatches_total", counters.dispatches);
+  count("egretrack_run_starts_total", counters.starts);
+  count("egretrack_run_ends_total", counters.ends);
+  count("egretrack_run_refusals_total", counters.refusals);
+  count("egretrack_run_stops_total", counters.stops);
+  count("egretrack_run_losses_total", counters.losses);
+  count("egretrack_run_unanswered_total", counters.unanswered);
+  count("egretrack_run_stalls_total", counters.stalls);
+  count("egretrack_entry_reconnects_total", counters.reconnects);
+  count("egretrack_stale_frames_total", counters.stale_frames);
+  count("egretrack_malformed_frames_total", parts_.traffic.malformed_frames);
+  count("egretrack_bad_reports_total", parts_.traffic.bad_reports);
+  count("egretrack_log_lines_left_out_total", log_.left_out());
+  const scheduler::supervisor_gauges gauges = core_->gauges();
+  const auto gauge = [this](std::string_view name, double value) {
+    metrics_->SetGauge(name, "", value);
+  };
+  gauge("egretrack_runs", static_cast<double>(gauges.running));
+  gauge("egretrack_runs_queued", static_cast<double>(gauges.queued));
+  gauge("egretrack_entries", static_cast<double>(gauges.entries));
+  gauge("egretrack_free_cpu_millicores",
+        static_cast<double>(gauges.free.cpu_milli));
+  gauge("egretrack_has_worker", gauges.has_worker ? 1 : 0);
+  telemetry::SetProcessUsage(*metrics_);
+  event.exchange->Respond({kOk,
+                           {{"Content-Type", "text/plain; version=0.0.4"}},
+                           metrics_->ToText()});
+}
+
+// ---- Commands -------------------------------------------------------------
+
+void job_agent_control::PerformCommands(monotonic_time now) {
+  using table =
+      event_table<scheduler::supervisor_command, &job_agent_control::Open,
+                  &job_agent_control::Send, &job_agent_control::Start,
+                  &job_agent_control::Stop, &job_agent_control::Look,
+                  &job_agent_control::Log, &job_agent_control::FinishDrain>;
+  for (scheduler::supervisor_command& command : commands_)
+    table::Call(*this, command, now);
+  commands_.clear();
+}
+
+void job_agent_control::Open(scheduler::open_link& command,
+                             monotonic_time& now) {
+  const auto address = net::tcp_address::Parse(command.address);
+  if (!address) {
+    LogEvent(
+        "entry_address_invalid", true,
+        {{"address", command.address}, {"reason", address.error().ToString()}},
+        now);
+    return;
+  }
+  parts_.entries.Connect(command.entry, *address);
+}
+
+void job_agent_control::Send(scheduler::send_to_entry& command,
+                             monotonic_time& /*now*/) {
+  parts_.entries.Send(command.entry, wire::EncodeFrame(command.frame));
+}
+
+void job_agent_control::Start(scheduler::start_run& command,
+                              monotonic_time& /*now*/) {
+  parts_.worker.Start(command);
+}
+
+void job_agent_control::Stop(scheduler::stop_run& command,
+                             monotonic_time& /*now*/) {
+  parts_.worker.Stop(command);
+}
+
+void job_agent_control::Look(scheduler::look_at_worker& command,
+                             monotonic_time& /*now*/) {
+  parts_.worker.Look(command);
+}
+
+void job_agent_control::Log(scheduler::decision_record& command,
+                            monotonic_time& now) {
+  log_.Write(scheduler::Name(command.kind),
+             scheduler::ExplainsFailure(command.kind), command.job,
+             command.fields, now);
+}
+
+void job_agent_control::FinishDrain(scheduler::supervisor_drained& /*command*/,
+                                    monotonic_time& now) {
+  LogEvent("drain_finished", false, {}, now);
+  parts_.drained();
+}
+
+void job_agent_control::LogEvent(std::string_view event,
+                                 bool explains_failure,
+                                 std::vector<event_field> fields,
+                                 monotonic_time now) {
+  log_.Write(event, explains_failure, "", fields, now);
+}
+
+}  // namespace egretrack::job_agent
--- /dev/null
+++ b/src/job_agent/worker_caller.cc
@@ -0,0 +1,64 @@
+#include "job_agent/worker_caller.h"
+
+#include <utility>
+
+#include "platform/worker_api.h"
+
+namespace egretrack::job_agent {
+namespace {
+
+// The worker answers an order within a millisecond or two, on the same
+// machine; what takes longer is lost or carried out late.
+constexpr milliseconds kOrderTimeout{200};
+// On top of the time that a look may wait for an end.
+constexpr milliseconds kLookSlack{200};
+// One for looks, two for starts, one for stops.
+constexpr std::size_t kConnections = 4;
+
+}  // namespace
+
+worker_caller::worker_caller(on_answer answered)
+    : answered_(std::move(answered)),
+      client_(net::http_client::Create({.connections_per_address = kConnections,
+                                        .connect_timeout = kOrderTimeout})) {}
+
+void worker_caller::Start(const scheduler::start_run& order) {
+  Call(order.target, platform::EncodeStart(order), kOrderTimeout,
+       [name = order.name](const net::http_reply& reply) {
+         return scheduler::start_answered{name,
+                                          platform::DecodeOrderResult(reply)};
+       });
+}
+
+void worker_caller::Stop(const scheduler::stop_run& order) {
+  Call(order.target, platform::EncodeStop(order), kOrderTimeout,
+       [name = order.name](const net::http_reply& reply) {
+         return scheduler::stop_answered{name,
+                                         platform::DecodeOrderResult(reply)};
+       });
+}
+
+void worker_caller::Look(const scheduler::look_at_worker& order) {
+  Call(order.target, platform::EncodeLook(order), order.wait + kLookSlack,
+       &platform::DecodeLook);
+}
+
+void worker_caller::Call(
+    const scheduler::order_target& target,
+    net::http_request request,
+    milliseconds timeout,
+    std::function<scheduler::supervisor_event(const net::http_reply&)> decode) {
+  const auto address = net::tcp_address::Parse(target.address);
+  if (!address) {
+    net::http_reply reply;
+    reply.failure = {address.error(), net::call_stage::kNotSent};
+    answered_(decode(reply));
+    return;
+  }
+  client_->Call(*address, std::move(request), timeout,
+                [this, decode = std::move(decode)](net::http_reply reply) {
+                  answered_(decode(reply));
+                });
+}
+
+}  // namespace egretrack::job_agent
--- /dev/null
+++ b/src/job_entry/job_entry_control.cc
@@ -0,0 +1,408 @@
+#include "job_entry/job_entry_control.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include "egretrack/base/event_table.h"
+#include "egretrack/telemetry/process_usage.h"
+#include "egretrack/wire/run_codec.h"
+#include "platform/configuration.h"
+#include "platform/job_api.h"
+
+namespace egretrack::job_entry {
+namespace {
+
+// New entries reach agents well within a second; a watch that fell silent is
+// noticed after this time.
+constexpr milliseconds kMembersWatch{5000};
+constexpr milliseconds kRegistrationRetry{300};
+// A store that fails for longer is taken as lost; a single call may fail.
+constexpr milliseconds kStoreLostAfter{300};
+// While the store is lost, one other entry after the other is asked for its
+// configuration.
+constexpr milliseconds kPeerInterval{500};
+constexpr milliseconds kPeerTimeout{400};
+constexpr std::string_view kConfigurationPath = "/v1/configuration";
+constexpr unsigned kOk = 200;
+constexpr unsigned kNoContent = 204;
+
+std::string HostOf(const std::string& address) {
+  const auto parsed = net::tcp_address::Parse(address);
+  return parsed ? parsed->host : std::string();
+}
+
+std::uint64_t ParseVersion(std::string_view text) {
+  std::uint64_t version = 0;
+  std::from_chars(text.data(), text.data() + text.size(), version);
+  return version;
+}
+
+// A configuration that is newer than the one asked about; nothing when there
+// is none.
+result<std::optional<std::string>> DocumentOf(const net::http_reply& reply) {
+  if (!reply.ok)
+    return reply.failure.cause;
+  if (reply.response.status == kOk)
+    return std::optional(reply.response.body);
+  if (reply.response.status == kNoContent)
+    return std::optional<std::string>();
+  return MakeError(errc::kUnavailable,
+                   "entry answered " + std::to_string(reply.response.status));
+}
+
+}  // namespace
+
+job_entry_control::job_entry_control(
+    std::unique_ptr<scheduler::job_scheduler> core,
+    control_parts parts)
+    : core_(std::move(core)),
+      parts_(std::move(parts)),
+      metrics_(telemetry::metrics::Create()),
+      log_("entry.jobs", {}),
+      configuration_table_(
+          parts_.store,
+          std::string(platform::kOperatorTable),
+          parts_.store_watch,
+          [&events = parts_.events](follower_answer answer) {
+            events.PushRequired(configuration_answer{std::move(answer)});
+          }),
+      members_table_(parts_.store,
+                     std::string(platform::kEntriesTable),
+                     kMembersWatch,
+                     [&events = parts_.events](follower_answer answer) {
+                       events.PushRequired(members_answer{std::move(answer)});
+                     }) {
+  members_[parts_.self.id] = parts_.self;
+}
+
+monotonic_time job_entry_control::OnBatch(std::span<control_event> batch,
+                                          monotonic_time now) {
+  using events = event_table<
+      control_event, &job_entry_control::OnCallerRequest,
+      &job_entry_control::OnSchedulerEvent, &job_entry_control::OnConfiguration,
+      &job_entry_control::OnMembers, &job_entry_control::OnRegistration,
+      &job_entry_control::OnPeer, &job_entry_control::OnSeeds,
+      &job_entry_control::OnInternal>;
+  for (control_event& event : batch)
+    events::Call(*this, event, now);
+  monotonic_time wake = core_->Advance(now, commands_);
+  PerformCommands(now);
+  parts_.ready = core_->ready(now);
+  NoteStore(now);
+  wake = std::min({wake, configuration_table_.Advance(now),
+                   members_table_.Advance(now), AskPeer(now)});
+  Register(now);
+  log_.ReportLeftOut(now);
+  return wake;
+}
+
+// ---- Events ---------------------------------------------------------------
+
+void job_entry_control::OnCallerRequest(caller_request& event,
+                                        monotonic_time& now) {
+  callers_.emplace(event.caller, std::move(event.exchange));
+  core_->Handle(std::move(event.event), now, commands_);
+}
+
+void job_entry_control::OnSchedulerEvent(scheduler::scheduler_event& event,
+                                         monotonic_time& now) {
+  if (const auto* gone = std::get_if<scheduler::caller_gone>(&event))
+    callers_.erase(gone->caller);
+  core_->Handle(std::move(event), now, commands_);
+}
+
+void job_entry_control::OnConfiguration(configuration_answer& event,
+                                        monotonic_time& now) {
+  const auto change = configuration_table_.Take(std::move(event.answer), now);
+  if (!change)
+    return;
+  for (const platform::store_row& row : change->rows) {
+    if (row.key == platform::kConfigurationKey && !row.removed)
+      Adopt(row.value, "store", now);
+  }
+}
+
+void job_entry_control::OnMembers(members_answer& event, monotonic_time& now) {
+  const auto change = members_table_.Take(std::move(event.answer), now);
+  if (!change || (change->rows.empty() && !change->whole))
+    return;
+  if (change->whole)
+    members_.clear();
+  for (const platform::store_row& row : change->rows) {
+    if (row.removed)
+      members_.erase(row.key);
+    else
+      members_[row.key] = {row.key, row.value};
+  }
+  members_[parts_.self.id] = parts_.self;
+  scheduler::members_received received;
+  for (const auto& [key, member] : members_)
+    received.members.push_back(member);
+  core_->Handle(std::move(received), now, commands_);
+}
+
+void job_entry_control::OnSeeds(seeds_changed& event, monotonic_time& now) {
+  LogEvent("settings_reloaded", false,
+           {{"seeds", static_cast<std::int64_t>(event.hosts.size())}}, now);
+  parts_.seed_hosts = std::move(event.hosts);
+}
+
+void job_entry_control::OnInternal(internal_request& event,
+                                   monotonic_time& now) {
+  switch (event.asked) {
+    case internal_question::kMetrics:
+      return event.exchange->Respond(Metrics(now));
+    case internal_question::kConfiguration:
+      return event.exchange->Respond(Configuration(event.exchange->request()));
+  }
+}
+
+// ---- Store and peers ------------------------------------------------------
+
+// A document with a fault is left out; the store accepts only valid ones, so
+// that a fault means that this entry does not understand it.
+void job_entry_control::Adopt(std::string_view document,
+                              std::string_view source,
+                              monotonic_time now) {
+  auto decoded = platform::DecodeConfiguration(document);
+  if (!decoded) {
+    LogEvent("configuration_not_understood", true,
+             {{"source", std::string(source)},
+              {"reason", decoded.error().ToString()}},
+             now);
+    return;
+  }
+  const std::uint64_t version = (*decoded)->version;
+  if (!config_version_ || version > *config_version_) {
+    config_version_ = version;
+    config_document_ = std::string(document);
+  }
+  core_->Handle(scheduler::configuration_received{std::move(*decoded)}, now,
+                commands_);
+}
+
+// The row is the same after a second write, so that an answer that is lost
+// needs no further thought.
+void job_entry_control::Register(monotonic_time now) {
+  if (registered_ || registering_ || now < next_registration_)
+    return;
+  registering_ = true;
+  parts_.store.Write(
+      {std::string(platform::kEntriesTable), parts_.self.id,
+       parts_.self.address, std::nullopt},
+      [&events = parts_.events](result<std::uint64_t> version) {
+        events.PushRequired(registration_answer{std::move(version)});
+      });
+}
+
+void job_entry_control::OnRegistration(registration_answer& event,
+                                       monotonic_time& now) {
+  registering_ = false;
+  if (event.version) {
+    registered_ = *event.version;
+    LogEvent("entry_registered", false,
+             {{"address", parts_.self.address},
+              {"row_version", static_cast<std::int64_t>(*event.version)}},
+             now);
+    return;
+  }
+  next_registration_ = now + kRegistrationRetry;
+  LogEvent("registration_failed", true,
+           {{"reason", event.version.error().ToString()}}, now);
+}
+
+void job_entry_control::NoteStore(monotonic_time now) {
+  const auto failing = configuration_table_.failing_since();
+  const bool lost = failing && now - *failing >= kStoreLostAfter;
+  if (lost && !store_lost_) {
+    store_lost_ = true;
+    store_lost_at_ = *failing;
+    LogEvent("store_lost", true,
+             {{"reason", configuration_table_.last_failure()},
+              {"config_version",
+               static_cast<std::int64_t>(config_version_.value_or(0))}},
+             now);
+  } else if (!failing && store_lost_) {
+    store_lost_ = false;
+    LogEvent("store_regained", false,
+             {{"away_us", (now - store_lost_at_).count()}}, now);
+  }
+}
+
+std::vector<std::string> job_entry_control::PeerHosts() const {
+  std::vector<std::string> hosts = parts_.seed_hosts;
+  for (const auto& [key, member] : members_)
+    hosts.push_back(HostOf(member.address));
+  std::ranges::sort(hosts);
+  const auto same = std::ranges::unique(hosts);
+  hosts.erase(same.begin(), same.end());
+  std::erase(hosts, HostOf(parts_.self.address));
+  std::erase(hosts, std::string());
+  return hosts;
+}
+
+// While the store is lost to this entry, others may still reach it.
+monotonic_time job_entry_control::AskPeer(monotonic_time now) {
+  if (!store_lost_ || asking_peer_)
+    return monotonic_time::max();
+  if (now < next_peer_)
+    return next_peer_;
+  next_peer_ = now + kPeerInterval;
+  const std::vector<std::string> hosts = PeerHosts();
+  if (hosts.empty())
+    return next_peer_;
+  asking_peer_ = true;
+  const std::string& host = hosts[++peer_turn_ % hosts.size()];
+  net::http_request request;
+  request.method = "GET";
+  request.target = std::string(kConfigurationPath) +
+                   "?newer_than=" + std::to_string(config_version_.value_or(0));
+  parts_.peers.Call({host, parts_.internal_port}, std::move(request),
+                    kPeerTimeout,
+                    [&events = parts_.events](const net::http_reply& reply) {
+                      events.PushRequired(peer_answer{DocumentOf(reply)});
+                    });
+  return monotonic_time::max();
+}
+
+void job_entry_control::OnPeer(peer_answer& event, monotonic_time& now) {
+  asking_peer_ = false;
+  if (!event.document) {
+    LogEvent("peer_failed", true,
+             {{"reason", event.document.error().ToString()}}, now);
+    return;
+  }
+  if (*event.document)
+    Adopt(**event.document, "peer", now);
+}
+
+// ---- Commands -------------------------------------------------------------
+
+void job_entry_control::PerformCommands(monotonic_time now) {
+  using table =
+      event_table<scheduler::scheduler_command, &job_entry_control::Answer,
+                  &job_entry_control::GiveBacklog, &job_entry_control::Send,
+                  &job_entry_control::Measure, &job_entry_control::Log,
+                  &job_entry_control::FinishDrain>;
+  for (scheduler::scheduler_command& command : commands_)
+    table::Call(*this, command, now);
+  commands_.clear();
+}
+
+net::http_exchange_ptr job_entry_control::TakeExchange(
+    scheduler::caller_token caller) {
+  const auto node = callers_.extract(caller);
+  return node.empty() ? nullptr : node.mapped();
+}
+
+void job_entry_control::Answer(scheduler::answer_job& command,
+                               monotonic_time& /*now*/) {
+  const auto exchange = TakeExchange(command.caller);
+  if (!exchange)
+    return;
+  // Another connection waits for the answer now; this one is broken or was
+  // given up by its caller.
+  if (command.state == scheduler::job_state::kAttached)
+    exchange->Abort();
+  else
+    exchange->Respond(platform::EncodeAnswer(command));
+}
+
+void job_entry_control::GiveBacklog(scheduler::answer_backlog& command,
+                                    monotonic_time& /*now*/) {
+  if (const auto exchange = TakeExchange(command.caller))
+    exchange->Respond(platform::EncodeBacklog(command));
+}
+
+void job_entry_control::Send(scheduler::send_to_agent& command,
+                             monotonic_time& /*now*/) {
+  parts_.agents.Send(net::peer_id{static_cast<std::uint64_t>(command.link)},
+                     wire::EncodeFrame(command.frame));
+}
+
+void job_entry_control::Measure(scheduler::job_measured& command,
+                                monotonic_time& /*now*/) {
+  const std::string kind = "kind=\"" + command.kind + "\"";
+  metrics_->ObserveDuration("egretrack_job_response_seconds", kind,
+                            command.response);
+  metrics_->ObserveDuration("egretrack_job_first_dispatch_seconds", kind,
+                            command.first_start);
+  const bool completed = command.state == scheduler::job_state::kCompleted;
+  const std::string outcome(completed ? (command.on_time ? "on_time" : "late")
+                                      : decision::Name(command.code));
+  ++ended_jobs_[kind + ",outcome=\"" + outcome + "\""];
+}
+
+void job_entry_control::Log(scheduler::decision_record& command,
+                            monotonic_time& now) {
+  log_.Write(scheduler::Name(command.kind),
+             scheduler::ExplainsFailure(command.kind), command.job,
+             command.fields, now);
+}
+
+void job_entry_control::FinishDrain(scheduler::drain_finished& /*command*/,
+                                    monotonic_time& now) {
+  LogEvent("drain_finished", false, {}, now);
+  parts_.drained();
+}
+
+void job_entry_control::LogEvent(std::string_view event,
+                                 bool explains_failure,
+                                 std::vector<event_field> fields,
+                                 monotonic_time now) {
+  log_.Write(event, explains_failure, "", fields, now);
+}
+
+// ---- Reports --------------------------------------------------------------
+
+net::http_response job_entry_control::Configuration(
+    const net::http_request& request) const {
+  const std::uint64_t newer_than = ParseVersion(request.Query("newer_than"));
+  if (config_version_.value_or(0) <= newer_than)
+    return {kNoContent, {}, ""};
+  return {kOk, {{"Content-Type", "application/json"}}, config_document_};
+}
+
+net::http_response job_entry_control::Metrics(monotonic_time now) {
+  const scheduler::scheduler_counters& counters = core_->counters();
+  const auto count = [this](std::string_view name, std::uint64_t value) {
+    metrics_->SetCounter(name, "", value);
+  };
+  count("egretrack_jobs_accepted_total", counters.jobs_accepted);
+  count("egretrack_jobs_completed_total", counters.jobs_completed);
+  count("egretrack_jobs_failed_total", counters.jobs_failed);
+  count("egretrack_jobs_refused_total", counters.jobs_refused);
+  count("egretrack_jobs_cancelled_total", counters.jobs_cancelled);
+  count("egretrack_dispatches_total", counters.dispatches);
+  count("egretrack_tasks_returned_total", counters.returns);
+  count("egretrack_tasks_lost_total", counters.losses);
+  count("egretrack_tasks_failed_total", counters.failures);
+  count("egretrack_late_reports_total", counters.late_reports);
+  count("egretrack_agent_ejections_total", counters.ejections);
+  count("egretrack_malformed_frames_total", parts_.traffic.malformed_frames);
+  count("egretrack_bad_requests_total", parts_.traffic.bad_requests);
+  count("egretrack_dropped_requests_total", parts_.traffic.dropped_requests);
+  count("egretrack_log_lines_left_out_total", log_.left_out());
+  for (const auto& [labels, value] : ended_jobs_)
+    metrics_->SetCounter("egretrack_jobs_ended_total", labels, value);
+  const scheduler::scheduler_gauges gauges = core_->gauges(now);
+  const auto gauge = [this](std::string_view name, double value) {
+    metrics_->SetGauge(name, "", value);
+  };
+  gauge("egretrack_jobs", static_cast<double>(gauges.jobs));
+  gauge("egretrack_tasks_outstanding",
+        static_cast<double>(gauges.tasks_outstanding));
+  gauge("egretrack_tasks_waiting", static_cast<double>(gauges.tasks_waiting));
+  gauge("egretrack_agents", static_cast<double>(gauges.agents));
+  gauge("egretrack_agents_usable", static_cast<double>(gauges.agents_usable));
+  gauge("egretrack_free_cpu_millicores",
+        static_cast<double>(gauges.free_cpu_milli));
+  gauge("egretrack_config_version", static_cast<double>(gauges.config_version));
+  gauge("egretrack_store_lost", store_lost_ ? 1 : 0);
+  telemetry::SetProcessUsage(*metrics_);
+  return {
+      kOk, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_->ToText()};
+}
+
+}  // namespace egretrack::job_entry
--- /dev/null
+++ b/src/job_entry/job_entry_process.cc
@@ -0,0 +1,308 @@
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <utility>
+#include <vector>
+
+#include "egretrack/base/control_loop.h"
+#include "egretrack/base/file.h"
+#include "egretrack/job_entry/job_entry.h"
+#include "egretrack/net/frame_link.h"
+#include "egretrack/net/http.h"
+#include "egretrack/wire/run_codec.h"
+#include "job_entry/job_entry_control.h"
+#include "platform/job_api.h"
+#include "platform/store.h"
+
+namespace egretrack::job_entry {
+namespace {
+
+constexpr unsigned kHttpThreads = 1;
+// The balancer and operators open few connections and send no bodies.
+constexpr std::size_t kFewConnections = 64;
+constexpr std::size_t kMaxBodyBytes = 262144;  // Of a caller's request.
+constexpr std::uint32_t kMaxHeaderBytes = 16384;
+// While the last responses of a draining process are being sent.
+constexpr milliseconds kLastResponses{500};
+constexpr milliseconds kIdleCheck{20};
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kServiceUnavailable = 503;
+
+struct addresses {
+  net::tcp_address jobs;
+  net::tcp_address readiness;
+  net::tcp_address agents;
+  net::tcp_address internal;
+  net::tcp_address store;
+};
+
+result<addresses> ParseAddresses(const settings::job_entry_settings& from) {
+  addresses parsed;
+  struct target {
+    const std::string& text;
+    net::tcp_address& address;
+  };
+  const target targets[] = {{from.jobs, parsed.jobs},
+                            {from.readiness, parsed.readiness},
+                            {from.agents, parsed.agents},
+                            {from.internal, parsed.internal},
+                            {from.store, parsed.store}};
+  for (const target& each : targets) {
+    auto address = net::tcp_address::Parse(each.text);
+    if (!address)
+      return address.error();
+    each.address = std::move(*address);
+  }
+  return parsed;
+}
+
+std::vector<std::string> HostsOf(std::span<const std::string> seeds) {
+  std::vector<std::string> hosts;
+  for (const std::string& seed : seeds) {
+    if (const auto address = net::tcp_address::Parse(seed))
+      hosts.push_back(address->host);
+  }
+  return hosts;
+}
+
+scheduler::scheduler_options ToOptions(
+    const settings::job_entry_settings& settings) {
+  scheduler::scheduler_options options;
+  options.entry = settings.id;
+  options.entry_incarnation = NewIncarnation();
+  options.failure_domain = settings.failure_domain;
+  options.max_jobs = settings.max_jobs;
+  options.drain_grace = settings.drain_grace;
+  options.drain_bound = settings.drain_bound;
+  return options;
+}
+
+class process final : public job_entry_process {
+ public:
+  process(settings::job_entry_settings settings, addresses listen)
+      : settings_(std::move(settings)),
+        addresses_(std::move(listen)),
+        events_(settings_.mailbox_capacity),
+        store_(
+            platform::store::Create(addresses_.store, settings_.store_timeout)),
+        peers_(net::http_client::Create({.connections_per_address = 1})) {}
+  process(const process&) = delete;
+  process& operator=(const process&) = delete;
+
+  // Traffic threads and the control thread end before what they use.
+  ~process() override {
+    if (loop_)
+      loop_->Stop();
+    jobs_server_.reset();
+    readiness_server_.reset();
+    internal_server_.reset();
+    agents_.reset();
+    store_.reset();
+    peers_.reset();
+    control_.reset();
+  }
+
+  result<void> Begin() {
+    auto core = scheduler::job_scheduler::Create(ToOptions(settings_));
+    if (!core)
+      return core.error();
+    if (auto bound = BindAgents(); !bound)
+      return bound;
+    StartControl(std::move(*core));
+    if (auto listening = Listen(); !listening)
+      return listening;
+    return WritePorts();
+  }
+
+  void Drain() override {
+    jobs_server_->CloseAfterResponses();
+    events_.PushRequired(
+        scheduler::scheduler_event(scheduler::drain_requested{}));
+  }
+
+  void Reload(const settings::job_entry_settings& settings) override {
+    events_.PushRequired(seeds_changed{HostsOf(settings.seeds)});
+  }
+
+  void Wait() override {
+    {
+      std::unique_lock lock(mutex_);
+      drained_changed_.wait(lock, [this] { return drained_; });
+    }
+    jobs_server_->Drain();
+    const monotonic_time bound = monotonic_clock::now() + kLastResponses;
+    while (!jobs_server_->idle() && monotonic_clock::now() < bound)
+      std::this_thread::sleep_for(kIdleCheck);
+  }
+
+ private:
+  result<void> BindAgents() {
+    auto bound = net::frame_router::Bind(
+        addresses_.agents,
+        [this](net::peer_id peer, std::span<const std::byte> bytes) {
+          OnFrame(peer, bytes);
+        });
+    if (!bound)
+      return bound.error();
+    agents_ = std::move(*bound);
+    return {};
+  }
+
+  void StartControl(std::unique_ptr<scheduler::job_scheduler> core) {
+    control_ = std::make_unique<job_entry_control>(
+        std::move(core),
+        control_parts{
+            .entry = settings_.id,
+            .self = {settings_.id, agents_->local_address().ToString()},
+            .internal_port = addresses_.internal.port,
+            .events = events_,
+            .store = *store_,
+            .peers = *peers_,
+            .agents = *agents_,
+            .traffic = traffic_,
+            .ready = ready_,
+            .drained = [this] { OnDrained(); },
+            .store_watch = settings_.store_watch,
+            .seed_hosts = HostsOf(settings_.seeds)});
+    loop_ = std::make_unique<control_loop<control_event>>(
+        events_, [this](std::span<control_event> batch, monotonic_time now) {
+          return control_->OnBatch(batch, now);
+        });
+    loop_->Start();
+  }
+
+  result<void> Listen() {
+    net::http_limits limits;
+    limits.connections = kFewConnections;
+    auto internal =
+        net::http_server::Listen(addresses_.internal, kHttpThreads, limits,
+                                 [this](net::http_exchange_ptr exchange) {
+                                   OnInternal(std::move(exchange));
+                                 });
+    if (!internal)
+      return internal.error();
+    internal_server_ = std::move(*internal);
+    auto readiness = net::http_server::Listen(
+        addresses_.readiness, kHttpThreads, limits,
+        [this](const net::http_exchange_ptr& exchange) {
+          exchange->Respond(platform::EncodeReadiness(ready_));
+        });
+    if (!readiness)
+      return readiness.error();
+    readiness_server_ = std::move(*readiness);
+    limits.connections = settings_.connections;
+    limits.body_bytes = kMaxBodyBytes;
+    limits.header_bytes = kMaxHeaderBytes;
+    auto jobs = net::http_server::Listen(
+        addresses_.jobs, kHttpThreads, limits,
+        [this](const net::http_exchange_ptr& exchange) { OnCaller(exchange); });
+    if (!jobs)
+      return jobs.error();
+    jobs_server_ = std::move(*jobs);
+    return {};
+  }
+
+  result<void> WritePorts() const {
+    if (settings_.ports_file.empty())
+      return {};
+    const auto line = [](std::string_view name, std::uint16_t port) {
+      return std::string(name) + " = " + std::to_string(port) + "\n";
+    };
+    return ReplaceFile(
+        settings_.ports_file,
+        line("jobs", jobs_server_->local_address().port) +
+            line("readiness", readiness_server_->local_address().port) +
+            line("agents", agents_->local_address().port) +
+            line("internal", internal_server_->local_address().port));
+  }
+
+  void OnCaller(const net::http_exchange_ptr& exchange) {
+    const scheduler::caller_token caller{++last_caller_};
+    auto decoded = platform::DecodeJobRequest(exchange->request(), caller);
+    if (!decoded) {
+      ++traffic_.bad_requests;
+      exchange->Respond(platform::EncodeBadRequest(decoded.error()));
+      return;
+    }
+    caller_request request{caller, exchange, std::move(*decoded)};
+    if (!events_.TryPush(std::move(request))) {
+      ++traffic_.dropped_requests;
+      exchange->Respond({kServiceUnavailable, {{"Retry-After", "1"}}, ""});
+      return;
+    }
+    exchange->OnClosed([this, caller] {
+      events_.PushRequired(
+          scheduler::scheduler_event(scheduler::caller_gone{caller}));
+    });
+  }
+
+  void OnInternal(net::http_exchange_ptr exchange) {
+    const std::string_view path = exchange->request().path();
+    internal_request request;
+    if (path == "/metrics")
+      request.asked = internal_question::kMetrics;
+    else if (path == "/v1/configuration")
+      request.asked = internal_question::kConfiguration;
+    else
+      return exchange->Respond({kNotFound, {}, ""});
+    request.exchange = std::move(exchange);
+    // A request that finds the mailbox full is answered when it is dropped.
+    static_cast<void>(events_.TryPush(std::move(request)));
+  }
+
+  // A frame that is lost here is repaired by the agent, which sends the next
+  // beat, and by the deadlines of jobs.
+  void OnFrame(net::peer_id peer, std::span<const std::byte> bytes) {
+    auto frame = wire::DecodeAgentRunFrame(bytes);
+    if (!frame) {
+      ++traffic_.malformed_frames;
+      return;
+    }
+    const scheduler::link_id link{static_cast<std::uint64_t>(peer)};
+    events_.PushRequired(scheduler::scheduler_event(
+        scheduler::agent_frame{link, std::move(*frame)}));
+  }
+
+  void OnDrained() {
+    const std::lock_guard lock(mutex_);
+    drained_ = true;
+    drained_changed_.notify_all();
+  }
+
+  const settings::job_entry_settings settings_;
+  const addresses addresses_;
+  control_mailbox events_;
+  traffic_counters traffic_;
+  std::atomic<bool> ready_ = false;
+  std::atomic<std::uint64_t> last_caller_ = 0;
+  std::unique_ptr<platform::store> store_;
+  std::unique_ptr<net::http_client> peers_;
+  std::unique_ptr<net::frame_router> agents_;
+  std::unique_ptr<job_entry_control> control_;
+  std::unique_ptr<control_loop<control_event>> loop_;
+  std::unique_ptr<net::http_server> internal_server_;
+  std::unique_ptr<net::http_server> readiness_server_;
+  std::unique_ptr<net::http_server> jobs_server_;
+
+  std::mutex mutex_;
+  std::condition_variable drained_changed_;
+  bool drained_ = false;  // Guarded by mutex_.
+};
+
+}  // namespace
+
+result<std::unique_ptr<job_entry_process>> job_entry_process::Start(
+    const settings::job_entry_settings& settings) {
+  auto parsed = ParseAddresses(settings);
+  if (!parsed)
+    return parsed.error();
+  auto started = std::make_unique<process>(settings, std::move(*parsed));
+  if (auto begun = started->Begin(); !begun)
+    return begun.error();
+  return std::unique_ptr<job_entry_process>(std::move(started));
+}
+
+}  // namespace egretrack::job_entry
--- a/src/net/frame_dealer.cc
+++ b/src/net/frame_dealer.cc
@@ -14,7 +14,7 @@
 namespace egretrack::net {
 namespace {
 
-enum class dealer_action : std::uint8_t { kSend, kReconnect };
+enum class dealer_action : std::uint8_t { kSend, kReconnect, kConnect };
 
 // Kept in one queue, so that a frame sent after Reconnect() takes the new
 // connection.
@@ -22,6 +22,7 @@
   dealer_action action = dealer_action::kSend;
   std::uint32_t link = 0;
   std::string bytes;
+  tcp_address address;  // For kConnect.
 };
 
 struct dealer_link {
@@ -29,7 +30,7 @@
   zmq::socket_t socket;
 };
 
-zmq::socket_t Connect(zmq::context_t& context, const tcp_address& address) {
+zmq::socket_t OpenSocket(zmq::context_t& context, const tcp_address& address) {
   zmq::socket_t socket(context, zmq::socket_type::dealer);
   Configure(socket, address);
   socket.connect(ZmqEndpoint(address));
@@ -53,12 +54,17 @@
   }
 
   void Reconnect(std::uint32_t link) override {
-    requests_.Push({dealer_action::kReconnect, link, {}});
+    requests_.Push({dealer_action::kReconnect, link, {}, {}});
+  }
+
+  void Connect(std::uint32_t link, const tcp_address& address) override {
+    requests_.Push({dealer_action::kConnect, link, {}, address});
   }
 
   void Send(std::uint32_t link, std::string frame) override {
     const std::size_t bytes = frame.size();
-    requests_.TryPush({dealer_action::kSend, link, std::move(frame)}, bytes);
+    requests_.TryPush({dealer_action::kSend, link, std::move(frame), {}},
+                      bytes);
   }
 
  private:
@@ -86,10 +92,13 @@
 
   void PerformQueued() {
     static constexpr perform kPerform[] = {&zmq_dealer::SendOne,
-                                           &zmq_dealer::ReconnectOne};
+                                           &zmq_dealer::ReconnectOne,
+                                           &zmq_dealer::ConnectOne};
     requests_.TakeAll(batch_);
     for (const dealer_request& request : batch_) {
-      if (request.link < links_.size())
+      const bool adds = request.action == dealer_action::kConnect &&
+                        request.link == links_.size();
+      if (adds || request.link < links_.size())
         (this->*kPerform[static_cast<std::size_t>(request.action)])(request);
     }
   }
@@ -103,7 +112,17 @@
   void ReconnectOne(const dealer_request& request) {
     dealer_link& link = links_[request.link];
     link.socket.close();
-    link.socket = Connect(context_, link.address);
+    link.socket = OpenSocket(context_, link.address);
+  }
+
+  void ConnectOne(const dealer_request& request) {
+    if (request.link == links_.size()) {
+      links_.push_back(
+          {request.address, OpenSocket(context_, request.address)});
+      return;
+    }
+    links_[request.link].address = request.address;
+    ReconnectOne(request);
   }
 
   void ReceiveSome(std::uint32_t link) {
@@ -135,7 +154,7 @@
   std::vector<dealer_link> links;
   for (const tcp_address& address : addresses) {
     try {
-      links.push_back({address, Connect(context, address)});
+      links.push_back({address, OpenSocket(context, address)});
     } catch (const zmq::error_t& failure) {
       return ToError(failure, address);
     }
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -140,6 +140,8 @@
     ForEachSession(&http_session::Drain);
   }
 
+  void CloseAfterResponses() override { state_->closing = true; }
+
   bool idle() const override { return state_->open_requests == 0; }
 
  private:
--- a/src/net/http_session.cc
+++ b/src/net/http_session.cc
@@ -339,7 +339,7 @@
 void http_session::SendFinal(http_response response) {
   on_closed_ = nullptr;
   phase_ = phase::kResponding;
-  if (server_->draining)
+  if (server_->draining || server_->closing)
     keep_alive_ = false;
   form_.keep_alive = keep_alive_;
   Enqueue(std::move(response));
--- a/src/net/http_session.h
+++ b/src/net/http_session.h
@@ -37,6 +37,8 @@
   const http_limits limits;
   const http_server::handler on_request;
   std::atomic<bool> draining = false;
+  // Connections are closed after their next response; new ones are accepted.
+  std::atomic<bool> closing = false;
   std::atomic<bool> stopping = false;
   std::atomic<std::size_t> serving = 0;  // Connections, without rejected ones.
   std::atomic<std::size_t> open_requests = 0;
--- a/src/objects/check.cc
+++ b/src/objects/check.cc
@@ -87,6 +87,31 @@
   AddFaults(std::move(faults), place, outcome.faults);
 }
 
+template <typename Object>
+void SortByName(std::vector<Object>& list) {
+  std::sort(list.begin(), list.end(),
+            [](const Object& a, const Object& b) { return a.name < b.name; });
+}
+
+template <typename Object>
+void CheckNames(const section<Object>& kind,
+                const std::vector<Object>& list,
+                std::vector<config_fault>& faults) {
+  const std::string* previous = nullptr;
+  for (const Object& object : list) {
+    if (!IsValidName(object.name)) {
+      faults.push_back(
+          {config_errc::kInvalidName, kind.Place(object.name), "",
+           "the name is not " + std::string(keys::kNameRule.wanted)});
+    }
+    if (previous != nullptr && *previous == object.name) {
+      faults.push_back({config_errc::kInvalidName, kind.Place(object.name), "",
+                        "the name is used twice"});
+    }
+    previous = &object.name;
+  }
+}
+
 template <typename Object>
 void ReadSection(const section<Object>& kind,
                  const toml::table& document,
@@ -101,9 +126,7 @@
     return;
   for (const auto& [name, object] : *table)
     ReadObject(kind, name.str(), object, outcome);
-  auto& list = outcome.objects.*kind.list;
-  std::sort(list.begin(), list.end(),
-            [](const Object& a, const Object& b) { return a.name < b.name; });
+  SortByName(outcome.objects.*kind.list);
 }
 
 void CheckSectionNames(const toml::table& document,
@@ -148,6 +171,16 @@
   return outcome;
 }
 
+std::vector<config_fault> CheckSet(object_set& set) {
+  std::vector<config_fault> faults;
+  ForEachSection([&](const auto& kind) {
+    SortByName(set.*kind.list);
+    CheckNames(kind, set.*kind.list, faults);
+  });
+  CheckRelations(set, faults);
+  return faults;
+}
+
 result<configuration_ptr> LoadConfiguration(std::uint64_t version,
                                             std::string_view document) {
   check_outcome outcome = CheckDocument(document);
--- a/src/objects/sections.cc
+++ b/src/objects/sections.cc
@@ -119,6 +119,18 @@
       rule{.name = "max_payload_bytes",
            .target = &o::max_payload_bytes,
            .range = kPayloadBytes},
+      rule{.name = "host", .target = &o::host, .text = keys::kAnyText},
+      rule{.name = "path_prefix",
+           .target = &o::path_prefix,
+           .text = keys::kAnyText},
+      rule{.name = "priority", .target = &o::priority, .range = {0, 1000}},
+      rule{.name = "max_attempts",
+           .target = &o::max_attempts,
+           .range = {1, 1000}},
+      rule{.name = "stretch", .target = &o::stretch, .range = {1, 1000}},
+      rule{.name = "target_ms",
+           .target = &o::target,
+           .range = {0, kDurationMs.high}},
   };
   return {"request_kind", &object_set::kinds, kKeys};
 }
--- /dev/null
+++ b/src/scheduler/run_supervisor_worker.cc
@@ -0,0 +1,416 @@
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "scheduler/run_supervisor_impl.h"
+
+namespace egretrack::scheduler {
+namespace {
+
+// Of one order without an answer, before it is fenced off by a stop.
+constexpr std::uint32_t kMaxResends = 1;
+// Times that a task whose number the worker has seen before gets a higher one.
+constexpr std::uint32_t kMaxRenumbered = 3;
+// Beyond the attempts that another entry may have made of the same task.
+constexpr std::uint32_t kRenumberStep = 16;
+// Unanswered looks in a row after which the lease is left to lapse: whether
+// the worker still obeys is not known any more.
+constexpr std::uint32_t kMaxUnansweredLooks = 2;
+// A stop that gets no answer for so long has the same effect.
+constexpr milliseconds kStopBound{300};
+// The worker ends a stopped run within 50 ms and then lists its end.
+constexpr milliseconds kStopTime{60};
+// Between looks while a stop waits for its end.
+constexpr milliseconds kStopLookInterval{30};
+// Pause after a look that failed.
+constexpr milliseconds kLookRetry{20};
+// A run without progress for so long, and for this share of its age, stands
+// still. The worker tells progress in whole percent.
+constexpr milliseconds kStallBound{400};
+constexpr double kStallShare = 0.04;
+
+}  // namespace
+
+order_target run_supervisor_impl::Target() const {
+  return {worker_->facts.address, worker_->facts.id, fence_};
+}
+
+// ---- Starts ---------------------------------------------------------------
+
+bool run_supervisor_impl::MayExtendLease() const {
+  if (looks_unanswered_ >= kMaxUnansweredLooks)
+    return false;
+  return std::none_of(
+      runs_.all().begin(), runs_.all().end(), [this](const auto& held) {
+        const agent_run& run = held.second;
+        return run.life.phase() == run_phase::kStopping && !run.stop_accepted &&
+               now_ - run.stop_ordered > kStopBound;
+      });
+}
+
+void run_supervisor_impl::StartRuns() {
+  if (!worker_ || worker_->draining || !worker_->reconciled ||
+      !lease_.clock_known() || !MayExtendLease()) {
+    return;
+  }
+  room free = worker_->facts.capacity - runs_.Used();
+  while (orders_in_flight_ < options_.orders_in_flight) {
+    auto* next = runs_.NextToStart(free, now_);
+    if (next == nullptr)
+      return;
+    agent_run& run = next->second;
+    run.life.Apply(run_signal::kOrder);
+    run.resends = 0;
+    run.started = now_;
+    run.progressed = now_;
+    free -= run.need;
+    OrderStart(run);
+  }
+}
+
+void run_supervisor_impl::OrderStart(agent_run& run) {
+  ++counters_.starts;
+  ++orders_in_flight_;
+  run.order_in_flight = true;
+  commands_->emplace_back(
+      start_run{Target(), run.name, run.spec, lease_.Renew(now_)});
+}
+
+void run_supervisor_impl::Confirm(agent_run& run) {
+  if (!run.life.Apply(run_signal::kConfirm))
+    return;
+  next_look_ = now_;
+  Record(decision_kind::kRunStarted, run.name.job_key,
+         {{"task", std::int64_t{run.task}},
+          {"attempt", std::int64_t{run.attempt}},
+          {"entry", links_[run.entry].entry()},
+          {"queued_us", (run.started - run.received).count()},
+          {"predicted_us", run.predicted.count()}});
+}
+
+void run_supervisor_impl::OnStartAnswered(start_answered& event) {
+  orders_in_flight_ -= std::min(orders_in_flight_, 1U);
+  auto* found = runs_.FindNamed(event.name);
+  if (found == nullptr)
+    return;
+  agent_run& run = found->second;
+  run.order_in_flight = false;
+  if (run.life.phase() != run_phase::kStarting)
+    return;
+  const std::uint64_t number = found->first;
+  switch (event.result) {
+    case order_result::kAccepted:
+      return Confirm(run);
+    case order_result::kFenced:
+      RaiseFence();
+      run.life.Apply(run_signal::kRequeue);
+      return;
+    case order_result::kSuperseded:
+      run.life.Apply(run_signal::kRequeue);
+      if (++run.renumbered > kMaxRenumbered)
+        return Refuse(number, wire::run_reason::kWorkerRefused);
+      run.name.run += kRenumberStep;
+      return;
+    case order_result::kUnanswered:
+      ++counters_.unanswered;
+      Record(decision_kind::kRunUnanswered, run.name.job_key,
+             {{"task", std::int64_t{run.task}},
+              {"resends", std::int64_t{run.resends}},
+              {"age_us", (now_ - run.started).count()}});
+      if (++run.resends <= kMaxResends && MayExtendLease())
+        return OrderStart(run);
+      return Stop(run, wire::run_reason::kUnanswered);
+    case order_result::kNoRoom:
+      return Refuse(number, wire::run_reason::kNoRoom);
+    case order_result::kUnreachable:
+      Refuse(number, wire::run_reason::kNoWorker);
+      return ForgetWorker(decision_kind::kWorkerGone);
+    case order_result::kTooLate:
+    case order_result::kRejected:
+    case order_result::kOtherLife:
+      return Refuse(number, wire::run_reason::kWorkerRefused);
+  }
+}
+
+// The worker has done nothing and will not.
+void run_supervisor_impl::Refuse(std::uint64_t number,
+                                 wire::run_reason reason) {
+  agent_run& run = *runs_.Find(number);
+  ++counters_.refusals;
+  run.started = {};
+  Report(run, wire::run_end::kRefused, reason);
+  Record(decision_kind::kRunRefused, run.name.job_key,
+         {{"task", std::int64_t{run.task}},
+          {"attempt", std::int64_t{run.attempt}},
+          {"reason", std::string(wire::Name(reason))},
+          {"queued_us", (now_ - run.received).count()},
+          {"start_by_in_us", run.start_by == monotonic_time::min()
+                                 ? std::int64_t{0}
+                                 : (run.start_by - now_).count()}});
+  run.life.Apply(run_signal::kEnd);
+  runs_.Erase(number);
+}
+
+// ---- Stops ----------------------------------------------------------------
+
+void run_supervisor_impl::Stop(agent_run& run, wire::run_reason reason) {
+  if (!run.life.Apply(run_signal::kStop))
+    return;
+  ++counters_.stops;
+  run.reason = reason;
+  run.stop_ordered = now_;
+  Record(decision_kind::kRunStopped, run.name.job_key,
+         {{"task", std::int64_t{run.task}},
+          {"attempt", std::int64_t{run.attempt}},
+          {"reason", std::string(wire::Name(reason))},
+          {"age_us", (now_ - run.started).count()},
+          {"percent", std::int64_t{run.percent}}});
+  OrderStop(run);
+}
+
+// Stops are not held back by the bound on orders in flight: they free room and
+// keep two runs of one task apart.
+void run_supervisor_impl::OrderStop(agent_run& run) {
+  if (!worker_)
+    return;
+  commands_->emplace_back(stop_run{Target(), run.name});
+}
+
+void run_supervisor_impl::OnStopAnswered(stop_answered& event) {
+  const bool accepted = event.result == order_result::kAccepted;
+  if (event.result == order_result::kFenced)
+    RaiseFence();
+  auto* found = runs_.FindNamed(event.name);
+  if (found == nullptr || found->second.life.phase() != run_phase::kStopping)
+    return;
+  agent_run& run = found->second;
+  if (event.result == order_result::kUnreachable)
+    return ForgetWorker(decision_kind::kWorkerGone);
+  if (!accepted)
+    return OrderStop(run);
+  run.stop_accepted = true;
+  run.stop_accepted_at = now_;
+  next_look_ = std::min(next_look_, now_ + kStopLookInterval);
+}
+
+// ---- Ends -----------------------------------------------------------------
+
+void run_supervisor_impl::End(std::uint64_t number,
+                              wire::run_end end,
+                              wire::run_reason reason) {
+  agent_run& run = *runs_.Find(number);
+  ++counters_.ends;
+  if (end == wire::run_end::kLost)
+    ++counters_.losses;
+  Report(run, end, reason);
+  Record(decision_kind::kRunEnded, run.name.job_key,
+         {{"task", std::int64_t{run.task}},
+          {"attempt", std::int64_t{run.attempt}},
+          {"end", std::string(wire::Name(end))},
+          {"reason", std::string(wire::Name(reason))},
+          {"ran_us", (now_ - run.started).count()},
+          {"predicted_us", run.predicted.count()}});
+  run.life.Apply(run_signal::kEnd);
+  runs_.Erase(number);
+}
+
+void run_supervisor_impl::LoseAllRuns(wire::run_reason reason) {
+  std::vector<std::uint64_t> at_worker;
+  for (const auto& [number, run] : runs_.all()) {
+    if (run.life.holds_room())
+      at_worker.push_back(number);
+  }
+  for (const std::uint64_t number : at_worker)
+    End(number, wire::run_end::kLost, reason);
+}
+
+void run_supervisor_impl::TakeEnds(const std::vector<ended_row>& ended) {
+  for (const ended_row& row : ended) {
+    worker_->seen = std::max(worker_->seen, row.number);
+    foreign_.erase(row.name);
+    auto* found = runs_.FindNamed(row.name);
+    if (found == nullptr)
+      continue;
+    const agent_run& run = found->second;
+    const bool lost = row.end == wire::run_end::kLost;
+    const wire::run_reason reason =
+        lost && run.reason == wire::run_reason::kNone
+            ? wire::run_reason::kLeaseLapsed
+            : run.reason;
+    // A run that never was confirmed may still have ended by itself.
+    End(found->first, row.end, lost ? reason : wire::run_reason::kNone);
+  }
+}
+
+// `running` is what the worker ran when it answered the look sent at
+// look_sent_.
+void run_supervisor_impl::TakeRunning(const std::vector<running_row>& running) {
+  std::set<run_name> foreign;
+  std::set<std::uint64_t> listed;
+  for (const running_row& row : running) {
+    auto* found = runs_.FindNamed(row.name);
+    if (found == nullptr) {
+      foreign.insert(row.name);
+      continue;
+    }
+    listed.insert(found->first);
+    Confirm(found->second);
+    if (found->second.life.phase() == run_phase::kRunning)
+      CheckProgress(found->second, row);
+  }
+  for (const run_name& name : foreign)
+    commands_->emplace_back(stop_run{Target(), name});
+  foreign_ = std::move(foreign);
+
+  std::vector<std::uint64_t> gone;
+  for (const auto& [number, run] : runs_.all()) {
+    if (listed.contains(number))
+      continue;
+    const bool ended_unseen = run.life.phase() == run_phase::kRunning &&
+                              run.started + kStopTime < look_sent_;
+    const bool stopped = run.life.phase() == run_phase::kStopping &&
+                         run.stop_accepted &&
+                         run.stop_accepted_at + kStopTime < look_sent_;
+    if (ended_unseen || stopped)
+      gone.push_back(number);
+  }
+  for (const std::uint64_t number : gone) {
+    const agent_run& run = *runs_.Find(number);
+    if (run.reason == wire::run_reason::kUnanswered)
+      Refuse(number, run.reason);
+    else
+      End(number, wire::run_end::kLost, run.reason);
+  }
+}
+
+void run_supervisor_impl::CheckProgress(agent_run& run,
+                                        const running_row& row) {
+  if (row.percent > run.percent) {
+    run.percent = row.percent;
+    run.progressed = now_;
+    return;
+  }
+  const auto age = static_cast<double>((now_ - run.started).count());
+  const microseconds bound = std::max<microseconds>(
+      kStallBound,
+      microseconds(static_cast<microseconds::rep>(age * kStallShare)));
+  if (now_ - run.progressed <= bound)
+    return;
+  ++counters_.stalls;
+  Record(decision_kind::kRunStalled, run.name.job_key,
+         {{"task", std::int64_t{run.task}},
+          {"percent", std::int64_t{run.percent}},
+          {"standstill_us", (now_ - run.progressed).count()}});
+  Stop(run, wire::run_reason::kStalled);
+}
+
+// ---- Looks ----------------------------------------------------------------
+
+bool run_supervisor_impl::WantsLook() const {
+  if (!worker_)
+    return false;
+  return !worker_->reconciled || runs_.CountAtWorker() > 0 ||
+         !foreign_.empty() || worker_->seen > worker_->acked;
+}
+
+void run_supervisor_impl::Look() {
+  if (look_in_flight_ || !WantsLook() || now_ < next_look_)
+    return;
+  look_at_worker look;
+  look.target = Target();
+  look.seen = worker_->seen;
+  const bool running = runs_.CountAtWorker() > 0;
+  const bool stopping =
+      !foreign_.empty() ||
+      std::any_of(runs_.all().begin(), runs_.all().end(), [](const auto& held) {
+        return held.second.life.phase() == run_phase::kStopping;
+      });
+  if (running && worker_->reconciled && MayExtendLease() &&
+      lease_.clock_known()) {
+    look.lease_until = lease_.Renew(now_);
+    look.wait = stopping ? kStopLookInterval : options_.renew_interval;
+  }
+  look_in_flight_ = true;
+  look_sent_ = now_;
+  look_seen_ = look.seen;
+  commands_->emplace_back(std::move(look));
+}
+
+void run_supervisor_impl::OnLookAnswered(look_answered& event) {
+  look_in_flight_ = false;
+  next_look_ = now_;
+  if (!worker_)
+    return;
+  switch (event.result) {
+    case order_result::kAccepted:
+      break;
+    case order_result::kFenced:
+      return RaiseFence();
+    case order_result::kUnreachable:
+      return ForgetWorker(decision_kind::kWorkerGone);
+    default:
+      next_look_ = now_ + kLookRetry;
+      if (++looks_unanswered_ == kMaxUnansweredLooks) {
+        Record(decision_kind::kWorkerSilent, "",
+               {{"worker", worker_->facts.id},
+                {"lease_left_us", (lease_.expires_at() - now_).count()}});
+      }
+      return;
+  }
+  if (event.born != worker_->facts.born) {
+    ForgetWorker(decision_kind::kWorkerRestarted);
+    return;
+  }
+  looks_unanswered_ = 0;
+  worker_->heard = now_;
+  worker_->acked = std::max(worker_->acked, look_seen_);
+  lease_.ObserveClock(event.worker_clock, now_);
+  TakeEnds(event.ended);
+  TakeRunning(event.running);
+  if (!worker_->reconciled && foreign_.empty()) {
+    worker_->reconciled = true;
+    for (entry_link& link : links_)
+      link.next_beat = now_;
+  }
+}
+
+// ---- The worker's life ----------------------------------------------------
+
+void run_supervisor_impl::RaiseFence() {
+  fence_ += fence_step_;
+  fence_step_ *= 2;
+  Record(decision_kind::kFenceRaised, "",
+         {{"fence", static_cast<std::int64_t>(fence_)}});
+}
+
+// Whatever ran there has ended with the worker.
+void run_supervisor_impl::ForgetWorker(decision_kind why) {
+  Record(why, "",
+         {{"worker", worker_->facts.id},
+          {"runs", static_cast<std::int64_t>(runs_.CountAtWorker())}});
+  LoseAllRuns(wire::run_reason::kWorkerLost);
+  worker_.reset();
+  lease_.Reset();
+  foreign_.clear();
+  looks_unanswered_ = 0;
+  next_look_ = now_;
+  for (entry_link& link : links_)
+    link.next_beat = now_;
+}
+
+void run_supervisor_impl::CheckWorker() {
+  if (!worker_)
+    return;
+  const bool at_worker = runs_.CountAtWorker() > 0;
+  if (at_worker && now_ > lease_.expires_at()) {
+    Record(decision_kind::kLeaseLapsed, "",
+           {{"worker", worker_->facts.id},
+            {"late_us", (now_ - lease_.expires_at()).count()}});
+    LoseAllRuns(wire::run_reason::kLeaseLapsed);
+  }
+  if (now_ - worker_->heard > options_.worker_report_bound)
+    ForgetWorker(decision_kind::kWorkerGone);
+}
+
+}  // namespace egretrack::scheduler
--- /dev/null
+++ b/src/settings/job_keys.cc
@@ -0,0 +1,147 @@
+#include <array>
+
+#include "settings/address.h"
+#include "settings/keys.h"
+
+namespace egretrack::settings {
+namespace {
+
+using keys::custom_key;
+using keys::fault_list;
+using keys::key_errc;
+using keys::key_rule;
+using keys::number_range;
+using keys::text_rule;
+
+constexpr number_range kTimeMs{20, 60000};
+constexpr number_range kMailbox{64, 1048576};
+constexpr number_range kPort{1, 65535};
+
+constexpr text_rule kListenAddress{key_errc::kInvalidAddress, &IsListenAddress,
+                                   "an IP address and port, as in 10.0.0.1:80"};
+constexpr text_rule kRemoteAddress{
+    key_errc::kInvalidAddress, &IsRemoteAddress,
+    "an IP address and a port of 1 or more, as in 10.0.0.1:80"};
+
+template <typename Settings>
+void ReadLog(const toml::node& node,
+             std::string_view key,
+             Settings& object,
+             fault_list& faults) {
+  const auto* table = keys::ExpectTable(node, key, faults);
+  if (table != nullptr)
+    keys::ReadTable(*table, LogKeys(), key, object.log, faults);
+}
+
+template <typename Settings>
+std::string PrintLog(const Settings& /*object*/) {
+  return "[log]";
+}
+
+void ReadPort(const toml::node& node,
+              std::string_view key,
+              job_agent_settings& object,
+              fault_list& faults) {
+  const auto port = keys::ReadInteger(node, key, kPort, faults);
+  if (port)
+    object.entry_port = static_cast<std::uint16_t>(*port);
+}
+
+std::string PrintPort(const job_agent_settings& object) {
+  return keys::FormatNumber(std::int64_t{object.entry_port});
+}
+
+template <typename Settings>
+key_rule<Settings> Name(std::string_view name, std::string Settings::*member) {
+  return {.name = name,
+          .target = member,
+          .text = keys::kNameRule,
+          .required = true};
+}
+
+template <typename Settings>
+key_rule<Settings> Address(std::string_view name,
+                           std::string Settings::*member,
+                           const text_rule& rule) {
+  return {.name = name, .target = member, .text = rule, .required = true};
+}
+
+}  // namespace
+
+std::span<const key_rule<job_entry_settings>> JobEntryKeys() {
+  using s = job_entry_settings;
+  using rule = key_rule<s>;
+  static const std::array kKeys{
+      Name("id", &s::id),
+      Name("failure_domain", &s::failure_domain),
+      Address("jobs", &s::jobs, kListenAddress),
+      Address("readiness", &s::readiness, kListenAddress),
+      Address("agents", &s::agents, kListenAddress),
+      Address("internal", &s::internal, kListenAddress),
+      Address("store", &s::store, kRemoteAddress),
+      rule{.name = "seeds", .target = &s::seeds, .text = kRemoteAddress},
+      rule{.name = "mailbox_capacity",
+           .target = &s::mailbox_capacity,
+           .range = kMailbox},
+      rule{.name = "connections",
+           .target = &s::connections,
+           .range = {1, 65535}},
+      rule{.name = "max_jobs", .target = &s::max_jobs, .range = {1, 1000000}},
+      rule{.name = "store_timeout_ms",
+           .target = &s::store_timeout,
+           .range = kTimeMs},
+      rule{.name = "store_watch_ms",
+           .target = &s::store_watch,
+           .range = {100, 30000}},
+      rule{.name = "drain_grace_ms",
+           .target = &s::drain_grace,
+           .range = {0, 60000}},
+      rule{.name = "drain_bound_ms",
+           .target = &s::drain_bound,
+           .range = {0, 60000}},
+      rule{.name = "ports_file",
+           .target = &s::ports_file,
+           .text = keys::kAnyText},
+      rule{.name = "log", .target = custom_key<s>{&ReadLog<s>, &PrintLog<s>}},
+  };
+  return kKeys;
+}
+
+std::span<const key_rule<job_agent_settings>> JobAgentKeys() {
+  using s = job_agent_settings;
+  using rule = key_rule<s>;
+  static const std::array kKeys{
+      Name("id", &s::id),
+      Name("failure_domain", &s::failure_domain),
+      Address("reports", &s::reports, kListenAddress),
+      Address("internal", &s::internal, kListenAddress),
+      Address("store", &s::store, kRemoteAddress),
+      rule{.name = "seeds", .target = &s::seeds, .text = kRemoteAddress},
+      rule{.name = "entry_port",
+           .target = custom_key<s>{&ReadPort, &PrintPort},
+           .required = true},
+      rule{.name = "mailbox_capacity",
+           .target = &s::mailbox_capacity,
+           .range = kMailbox},
+      rule{.name = "store_timeout_ms",
+           .target = &s::store_timeout,
+           .range = kTimeMs},
+      rule{.name = "entry_silence_ms",
+           .target = &s::entry_silence,
+           .range = {300, 60000}},
+      rule{.name = "lease_ms", .target = &s::lease, .range = {300, 60000}},
+      rule{.name = "renew_interval_ms",
+           .target = &s::renew_interval,
+           .range = {20, 2000}},
+      rule{.name = "drain_bound_ms",
+           .target = &s::drain_bound,
+           .range = {0, 60000}},
+      rule{.name = "ports_file",
+           .target = &s::ports_file,
+           .text = keys::kAnyText},
+      rule{.name = "log", .target = custom_key<s>{&ReadLog<s>, &PrintLog<s>}},
+  };
+  return kKeys;
+}
+
+}  // namespace egretrack::settings
--- a/src/settings/keys.h
+++ b/src/settings/keys.h
@@ -12,6 +12,8 @@
 
 std::span<const keys::key_rule<entry_settings>> EntryKeys();
 std::span<const keys::key_rule<agent_settings>> AgentKeys();
+std::span<const keys::key_rule<job_entry_settings>> JobEntryKeys();
+std::span<const keys::key_rule<job_agent_settings>> JobAgentKeys();
 std::span<const keys::key_rule<peer>> PeerKeys();
 std::span<const keys::key_rule<log_settings>> LogKeys();
 
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -113,6 +113,26 @@
   return agent;
 }
 
+daemon_settings ReadJobEntry(const toml::table& table, fault_list& faults) {
+  job_entry_settings entry;
+  keys::ReadTable(table, JobEntryKeys(), "job_entry", entry, faults);
+  if (entry.drain_bound < entry.drain_grace) {
+    faults.push_back({key_errc::kOutOfRange, "job_entry.drain_bound_ms",
+                      "shorter than job_entry.drain_grace_ms"});
+  }
+  return entry;
+}
+
+daemon_settings ReadJobAgent(const toml::table& table, fault_list& faults) {
+  job_agent_settings agent;
+  keys::ReadTable(table, JobAgentKeys(), "job_agent", agent, faults);
+  if (agent.lease <= agent.renew_interval) {
+    faults.push_back({key_errc::kOutOfRange, "job_agent.lease_ms",
+                      "not longer than job_agent.renew_interval_ms"});
+  }
+  return agent;
+}
+
 struct role_reader {
   std::string_view role;  // Also the name of its table.
   daemon_settings (*read)(const toml::table& table, fault_list& faults);
@@ -120,6 +140,8 @@
 constexpr std::array kRoles{
     role_reader{"entry", &ReadEntry},
     role_reader{"agent", &ReadAgent},
+    role_reader{"job_entry", &ReadJobEntry},
+    role_reader{"job_agent", &ReadJobAgent},
 };
 
 // Returns the reader of the role that the document names, or reports why
@@ -141,7 +163,9 @@
   if (found != kRoles.end())
     return found;
   faults.push_back({key_errc::kOutOfRange, "role",
-                    "'" + role + "' is not \"entry\" or \"agent\""});
+                    "'" + role +
+                        "' is not \"entry\", \"agent\", \"job_entry\" or "
+                        "\"job_agent\""});
   return nullptr;
 }
 
--- a/src/settings/tests/page_test.cc
+++ b/src/settings/tests/page_test.cc
@@ -15,9 +15,9 @@
   EXPECT_EQ(keys::PageFaults(page, "## `[entry]`", EntryKeys()), "");
   EXPECT_EQ(keys::PageFaults(page, "## `[[entry.peers]]`", PeerKeys()), "");
   EXPECT_EQ(keys::PageFaults(page, "## `[agent]`", AgentKeys()), "");
-  EXPECT_EQ(
-      keys::PageFaults(page, "## `[entry.log]` and `[agent.log]`", LogKeys()),
-      "");
+  EXPECT_EQ(keys::PageFaults(page, "## `[job_entry]`", JobEntryKeys()), "");
+  EXPECT_EQ(keys::PageFaults(page, "## `[job_agent]`", JobAgentKeys()), "");
+  EXPECT_EQ(keys::PageFaults(page, "## `[log]` of each role", LogKeys()), "");
 }
 
 // Guards against examples that the daemon refuses.
--- a/src/telemetry/log.cc
+++ b/src/telemetry/log.cc
@@ -3,23 +3,27 @@
 #include <algorithm>
 #include <array>
 #include <cerrno>
-#include <fstream>
 #include <string>
 #include <system_error>
 
-#include <log4cplus/consoleappender.h>
-#include <log4cplus/fileappender.h>
+#include <fcntl.h>
+#include <unistd.h>
+
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loglevel.h>
 
+#include "telemetry/batch_appender.h"
+
 namespace egretrack::telemetry {
 namespace {
 
 // UTC with milliseconds, level, part: message.
 constexpr const char* kPattern = "%d{%Y-%m-%dT%H:%M:%S.%q}Z %-5p %c: %m%n";
 
+constexpr mode_t kLogFileMode = 0644;
+
 struct level_name {
   std::string_view name;
   log4cplus::LogLevel level;
@@ -44,12 +48,8 @@
   static_cast<void>(kIsOff);
 }
 
-log4cplus::SharedAppenderPtr MakeAppender(const std::string& file) {
-  log4cplus::SharedAppenderPtr appender;
-  if (file.empty())
-    appender = new log4cplus::ConsoleAppender(true, true);
-  else
-    appender = new log4cplus::FileAppender(file, std::ios_base::app);
+log4cplus::SharedAppenderPtr MakeAppender(int descriptor, bool owns) {
+  log4cplus::SharedAppenderPtr appender(new batch_appender(descriptor, owns));
   appender->setLayout(std::make_unique<log4cplus::PatternLayout>(kPattern));
   return appender;
 }
@@ -74,21 +74,31 @@
                      "log level '" + std::string(level) + "'");
   }
   const std::string path(file);
-  // log4cplus only prints a failure to open the file.
-  errno = 0;
-  if (!path.empty() && !std::ofstream(path, std::ios_base::app).is_open()) {
-    const std::error_code cause(errno, std::generic_category());
-    return MakeError(errc::kSystem,
-                     "log file '" + path + "': " + cause.message());
+  int descriptor = STDOUT_FILENO;
+  if (!path.empty()) {
+    descriptor = ::open(path.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC,
+                        kLogFileMode);
+    if (descriptor < 0) {
+      const std::error_code cause(errno, std::generic_category());
+      return MakeError(errc::kSystem,
+                       "log file '" + path + "': " + cause.message());
+    }
   }
   Initialize();
   log4cplus::Logger root = log4cplus::Logger::getRoot();
   root.removeAllAppenders();
-  root.addAppender(MakeAppender(path));
+  root.addAppender(MakeAppender(descriptor, !path.empty()));
   root.setLogLevel(found->level);
   return {};
 }
 
+void StopLogging() {
+  Initialize();
+  log4cplus::Logger root = log4cplus::Logger::getRoot();
+  root.setLogLevel(log4cplus::OFF_LOG_LEVEL);
+  root.removeAllAppenders();
+}
+
 struct logger::impl {
   log4cplus::Logger target;
 
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 
+#include "telemetry/histogram.h"
 #include "telemetry/summary.h"
 
 namespace egretrack::telemetry {
@@ -115,6 +116,38 @@
   }
 }
 
+constexpr double kMicrosecondsPerSecond = 1e6;
+
+double ToSeconds(microseconds value) {
+  return static_cast<double>(value.count()) / kMicrosecondsPerSecond;
+}
+
+void AppendHistogram(std::string& text,
+                     std::string_view name,
+                     std::string_view labels,
+                     const histogram& values) {
+  const std::string base(name);
+  const std::string prefix =
+      labels.empty() ? std::string() : std::string(labels) + ",";
+  for (std::size_t index = 0; index < histogram::kBounds.size(); ++index) {
+    const std::string bound = Format(ToSeconds(histogram::kBounds[index]));
+    AppendSample(text, base + "_bucket", prefix + "le=\"" + bound + "\"",
+                 Format(values.CountUpTo(index)));
+  }
+  AppendSample(text, base + "_bucket", prefix + "le=\"+Inf\"",
+               Format(values.count()));
+  AppendSample(text, base + "_sum", labels, Format(ToSeconds(values.sum())));
+  AppendSample(text, base + "_count", labels, Format(values.count()));
+}
+
+void AppendHistograms(std::string& text, const by_name<histogram>& families) {
+  for (const auto& [name, family] : families) {
+    AppendType(text, name, "histogram");
+    for (const auto& [labels, values] : family)
+      AppendHistogram(text, name, labels, values);
+  }
+}
+
 class process_metrics final : public metrics {
  public:
   void SetCounter(std::string_view name,
@@ -135,11 +168,18 @@
     Cell(summaries_, name, labels).Add(value);
   }
 
+  void ObserveDuration(std::string_view name,
+                       std::string_view labels,
+                       microseconds value) override {
+    Cell(histograms_, name, labels).Add(value);
+  }
+
   std::string ToText() const override {
     std::string text;
     AppendFamilies(text, counters_, "counter");
     AppendFamilies(text, gauges_, "gauge");
     AppendSummaries(text, summaries_);
+    AppendHistograms(text, histograms_);
     return text;
   }
 
@@ -147,6 +187,7 @@
   by_name<std::uint64_t> counters_;
   by_name<double> gauges_;
   by_name<summary> summaries_;
+  by_name<histogram> histograms_;
 };
 
 }  // namespace
--- a/src/telemetry/tests/log_test.cc
+++ b/src/telemetry/tests/log_test.cc
@@ -1,8 +1,12 @@
 #include "egretrack/telemetry/log.h"
 
+#include <fcntl.h>
+#include <sys/stat.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
+#include <chrono>
 #include <filesystem>
 #include <regex>
 #include <thread>
@@ -18,11 +22,15 @@
 class Log : public testing::Test {
  protected:
   void TearDown() override {
-    ASSERT_TRUE(StartLogging("off", "").has_value());
+    StopLogging();
     std::filesystem::remove(file_);
   }
 
-  std::string Written() const { return ReadFile(file_).value(); }
+  // Lines are written by a thread of their own, all of them before the end.
+  std::string Written() const {
+    StopLogging();
+    return ReadFile(file_).value();
+  }
 
   const std::string file_ =
       testing::TempDir() + "egretrack_log_test." + std::to_string(getpid());
@@ -38,7 +46,8 @@
   const std::regex line(
       "\\d{4}-\\d\\d-\\d\\dT\\d\\d:\\d\\d:\\d\\d\\.\\d{3}Z WARN  entry\\.http: "
       "Bad request from a caller\\.\n");
-  EXPECT_TRUE(std::regex_match(Written(), line)) << Written();
+  const std::string text = Written();
+  EXPECT_TRUE(std::regex_match(text, line)) << text;
 }
 
 // Guards against lines that mix when several threads write.
@@ -65,6 +74,36 @@
   EXPECT_EQ(count, 400U);
 }
 
+// Guards against a thread that logs and waits for an output that nobody reads,
+// and against dropped lines that go unmentioned.
+TEST_F(Log, DropsAndCountsWhenTheOutputBlocks) {
+  ASSERT_EQ(mkfifo(file_.c_str(), 0600), 0);
+  // Opened for reading and writing, so that neither side waits for the other.
+  const int reader = open(file_.c_str(), O_RDWR);
+  ASSERT_GE(reader, 0);
+  ASSERT_TRUE(StartLogging("info", file_).has_value());
+  const logger log("part");
+  const std::string message(1000, 'x');
+  const auto begin = std::chrono::steady_clock::now();
+  for (int n = 0; n < 2000; ++n)
+    log.Info(message);
+  EXPECT_LT(std::chrono::steady_clock::now() - begin, std::chrono::seconds(2));
+  std::string text;
+  std::thread drain([&] {
+    std::array<char, 65536> bytes{};
+    while (text.find("event=log_lines_dropped count=") == std::string::npos) {
+      const ssize_t size = read(reader, bytes.data(), bytes.size());
+      if (size <= 0)
+        return;
+      text.append(bytes.data(), static_cast<std::size_t>(size));
+    }
+  });
+  drain.join();
+  StopLogging();
+  close(reader);
+  EXPECT_LT(std::count(text.begin(), text.end(), '\n'), 2000);
+}
+
 // Guards against a process that runs without the log it was told to write.
 TEST_F(Log, RefusesWhatItCannotDo) {
   EXPECT_EQ(StartLogging("loud", "").error().code, errc::kInvalidArgument);
--- a/src/telemetry/tests/metrics_test.cc
+++ b/src/telemetry/tests/metrics_test.cc
@@ -76,5 +76,27 @@
   EXPECT_EQ(values.count(), 1U);
 }
 
+// Guards against buckets that are not cumulative, which readers reject, and
+// against durations beyond the last bound that are lost.
+TEST(Metrics, WritesCumulativeHistogram) {
+  const auto values = metrics::Create();
+  values->ObserveDuration("response_seconds", "kind=\"quote\"",
+                          milliseconds(1));
+  values->ObserveDuration("response_seconds", "kind=\"quote\"",
+                          milliseconds(15));
+  values->ObserveDuration("response_seconds", "kind=\"quote\"", seconds(20));
+  const std::string text = values->ToText();
+  for (const char* line :
+       {"# TYPE response_seconds histogram\n",
+        "response_seconds_bucket{kind=\"quote\",le=\"0.001\"} 1\n",
+        "response_seconds_bucket{kind=\"quote\",le=\"0.01\"} 1\n",
+        "response_seconds_bucket{kind=\"quote\",le=\"0.02\"} 2\n",
+        "response_seconds_bucket{kind=\"quote\",le=\"10\"} 2\n",
+        "response_seconds_bucket{kind=\"quote\",le=\"+Inf\"} 3\n",
+        "response_seconds_count{kind=\"quote\"} 3\n"}) {
+    EXPECT_NE(text.find(line), std::string::npos) << line << text;
+  }
+}
+
 }  // namespace
 }  // namespace egretrack::telemetry
--- /dev/null
+++ b/src/wire/run_messages.cc
@@ -0,0 +1,29 @@
+#include "egretrack/wire/run_messages.h"
+
+#include <array>
+#include <cstddef>
+
+namespace egretrack::wire {
+namespace {
+
+// Indexed by run_end, of which the first is 1.
+constexpr std::array<std::string_view, 4> kEnds{"done", "failed", "refused",
+                                                "lost"};
+// Indexed by run_reason.
+constexpr std::array<std::string_view, 12> kReasons{
+    "none",           "no_worker",       "draining",
+    "too_late",       "queued_too_long", "no_room",
+    "worker_refused", "unanswered",      "stalled",
+    "lease_lapsed",   "worker_lost",     "entry_silent"};
+
+}  // namespace
+
+std::string_view Name(run_end end) {
+  return kEnds[static_cast<std::size_t>(end) - 1];
+}
+
+std::string_view Name(run_reason reason) {
+  return kReasons[static_cast<std::size_t>(reason)];
+}
+
+}  // namespace egretrack::wire
