--- a/src/include/egretrack/scheduler/job_scheduler.h
+++ b/src/include/egretrack/scheduler/job_scheduler.h
@@ -106,6 +106,7 @@
   kCancelled,
   kRefused,   // Has not run and will not.
   kUnknown,   // No such job.
+  kOutcomeUnknown,  // Tasks may have run; what does is stopped.
   kAttached,  // Another request for the same job took this one's place.
 };
 
@@ -174,6 +175,7 @@
   std::uint64_t jobs_completed = 0;
   std::uint64_t jobs_failed = 0;
   std::uint64_t jobs_refused = 0;
+  std::uint64_t jobs_unknown = 0;  // Cut off while tasks may have run.
   std::uint64_t jobs_cancelled = 0;
   std::uint64_t dispatches = 0;
   std::uint64_t returns = 0;   // Tasks that an agent gave back unstarted.
--- a/src/job_entry/job_entry_control.cc
+++ b/src/job_entry/job_entry_control.cc
@@ -373,6 +373,7 @@
   count("egretrack_jobs_completed_total", counters.jobs_completed);
   count("egretrack_jobs_failed_total", counters.jobs_failed);
   count("egretrack_jobs_refused_total", counters.jobs_refused);
+  count("egretrack_jobs_unknown_total", counters.jobs_unknown);
   count("egretrack_jobs_cancelled_total", counters.jobs_cancelled);
   count("egretrack_dispatches_total", counters.dispatches);
   count("egretrack_tasks_returned_total", counters.returns);
--- a/src/scheduler/job_scheduler_agents.cc
+++ b/src/scheduler/job_scheduler_agents.cc
@@ -195,8 +195,12 @@
 
 // The worker is to blame unless the task fails elsewhere as well.
 void job_scheduler_impl::JudgeFailure(worker_view& view, scheduled_task& task) {
-  if (task.first_failure != nullptr && task.first_failure != &view) {
+  if (task.first_failure != nullptr && task.first_failure != &view &&
+      !task.own_fault) {
     task.first_failure->health.Forgive();
+    task.own_fault = true;
+  }
+  if (task.own_fault) {
     view.health.EndTrial();
     return;
   }
--- a/src/scheduler/job_scheduler_jobs.cc
+++ b/src/scheduler/job_scheduler_jobs.cc
@@ -308,10 +308,16 @@
 
 // ---- Ends -----------------------------------------------------------------
 
-// What surely has not run is refused; otherwise the job has failed.
+// What surely has not run is refused. A job has failed only when one of its
+// tasks has failed as often as allowed; otherwise its outcome is not known.
 void job_scheduler_impl::GiveUp(scheduled_job& job, job_errc code) {
   const bool not_run = !job.may_have_run && job.outstanding == 0;
-  Finish(job, not_run ? job_state::kRefused : job_state::kFailed, code);
+  job_state state = job_state::kOutcomeUnknown;
+  if (code == job_errc::kTaskFailed)
+    state = job_state::kFailed;
+  else if (not_run)
+    state = job_state::kRefused;
+  Finish(job, state, code);
 }
 
 void job_scheduler_impl::Finish(scheduled_job& job,
@@ -323,6 +329,7 @@
   counters_.jobs_completed += completed ? 1 : 0;
   counters_.jobs_refused += refused ? 1 : 0;
   counters_.jobs_failed += state == job_state::kFailed ? 1 : 0;
+  counters_.jobs_unknown += state == job_state::kOutcomeUnknown ? 1 : 0;
   counters_.jobs_cancelled += state == job_state::kCancelled ? 1 : 0;
   job_measured measured;
   measured.kind = job.kind->name;
@@ -358,8 +365,8 @@
 void job_scheduler_impl::RememberAnswer(const scheduled_job& job,
                                         job_state state,
                                         job_errc code) {
-  // A refused job may be tried again.
-  if (state == job_state::kRefused)
+  // What was refused or cut off may be tried again.
+  if (state == job_state::kRefused || state == job_state::kOutcomeUnknown)
     return;
   const monotonic_time until = now_ + options_.answer_retention;
   answers_[job.key] = {state, code, until};
