--- a/src/scheduler/run_supervisor.cc
+++ b/src/scheduler/run_supervisor.cc
@@ -71,6 +71,7 @@
   CheckLinks();
   CheckWorker();
   ExpireQueued();
+  OrderStops();
   StartRuns();
   Look();
   CheckDrain();
@@ -87,6 +88,10 @@
   for (const auto& [number, run] : runs_.all()) {
     if (run.life.phase() == run_phase::kQueued)
       wake = std::min({wake, run.return_at, run.start_by});
+    const bool stop_waits = run.life.phase() == run_phase::kStopping &&
+                            !run.stop_accepted && !run.stop_in_flight;
+    if (stop_waits && worker_)
+      wake = std::min(wake, run.next_stop);
   }
   if (!look_in_flight_ && WantsLook())
     wake = std::min(wake, next_look_);
--- a/src/scheduler/run_supervisor_impl.h
+++ b/src/scheduler/run_supervisor_impl.h
@@ -77,7 +77,7 @@
   // ---- run_supervisor_worker.cc: orders and looks --------------------------
   void StartRuns();
   void OrderStart(agent_run& run);
-  void OrderStop(agent_run& run);
+  void OrderStops();
   void Stop(agent_run& run, wire::run_reason reason);
   void Refuse(std::uint64_t number, wire::run_reason reason);
   void End(std::uint64_t number, wire::run_end end, wire::run_reason reason);
--- a/src/scheduler/run_supervisor_worker.cc
+++ b/src/scheduler/run_supervisor_worker.cc
@@ -19,6 +19,8 @@
 constexpr std::uint32_t kMaxUnansweredLooks = 2;
 // A stop that gets no answer for so long has the same effect.
 constexpr milliseconds kStopBound{300};
+// Between two orders to stop a run.
+constexpr milliseconds kStopRetry{50};
 // The worker ends a stopped run within 50 ms and then lists its end.
 constexpr milliseconds kStopTime{60};
 // Between looks while a stop waits for its end.
@@ -72,7 +74,6 @@
 void run_supervisor_impl::OrderStart(agent_run& run) {
   ++counters_.starts;
   ++orders_in_flight_;
-  run.order_in_flight = true;
   commands_->emplace_back(
       start_run{Target(), run.name, run.spec, lease_.Renew(now_)});
 }
@@ -95,10 +96,18 @@
   if (found == nullptr)
     return;
   agent_run& run = found->second;
-  run.order_in_flight = false;
   if (run.life.phase() != run_phase::kStarting)
     return;
   const std::uint64_t number = found->first;
+  if (event.result == order_result::kUnreachable)
+    return ForgetWorker(decision_kind::kWorkerGone);
+  // What a later order is told says nothing about an earlier one that got no
+  // answer and may still be carried out.
+  const bool earlier_may_start =
+      run.resends > 0 && event.result != order_result::kAccepted &&
+      event.result != order_result::kUnanswered;
+  if (earlier_may_start)
+    return Stop(run, wire::run_reason::kUnanswered);
   switch (event.result) {
     case order_result::kAccepted:
       return Confirm(run);
@@ -123,12 +132,10 @@
       return Stop(run, wire::run_reason::kUnanswered);
     case order_result::kNoRoom:
       return Refuse(number, wire::run_reason::kNoRoom);
-    case order_result::kUnreachable:
-      Refuse(number, wire::run_reason::kNoWorker);
-      return ForgetWorker(decision_kind::kWorkerGone);
     case order_result::kTooLate:
     case order_result::kRejected:
     case order_result::kOtherLife:
+    case order_result::kUnreachable:
       return Refuse(number, wire::run_reason::kWorkerRefused);
   }
 }
@@ -166,29 +173,42 @@
           {"reason", std::string(wire::Name(reason))},
           {"age_us", (now_ - run.started).count()},
           {"percent", std::int64_t{run.percent}}});
-  OrderStop(run);
+  run.next_stop = now_;
+  OrderStops();
 }
 
 // Stops are not held back by the bound on orders in flight: they free room and
 // keep two runs of one task apart.
-void run_supervisor_impl::OrderStop(agent_run& run) {
+void run_supervisor_impl::OrderStops() {
   if (!worker_)
     return;
-  commands_->emplace_back(stop_run{Target(), run.name});
+  for (auto& [number, run] : runs_.all()) {
+    const bool due = run.life.phase() == run_phase::kStopping &&
+                     !run.stop_accepted && !run.stop_in_flight &&
+                     now_ >= run.next_stop;
+    if (!due)
+      continue;
+    run.stop_in_flight = true;
+    commands_->emplace_back(stop_run{Target(), run.name});
+  }
 }
 
 void run_supervisor_impl::OnStopAnswered(stop_answered& event) {
-  const bool accepted = event.result == order_result::kAccepted;
   if (event.result == order_result::kFenced)
     RaiseFence();
   auto* found = runs_.FindNamed(event.name);
   if (found == nullptr || found->second.life.phase() != run_phase::kStopping)
     return;
   agent_run& run = found->second;
+  run.stop_in_flight = false;
   if (event.result == order_result::kUnreachable)
     return ForgetWorker(decision_kind::kWorkerGone);
-  if (!accepted)
-    return OrderStop(run);
+  if (event.result == order_result::kOtherLife)
+    return ForgetWorker(decision_kind::kWorkerRestarted);
+  if (event.result != order_result::kAccepted) {
+    run.next_stop = now_ + kStopRetry;
+    return;
+  }
   run.stop_accepted = true;
   run.stop_accepted_at = now_;
   next_look_ = std::min(next_look_, now_ + kStopLookInterval);
--- a/src/scheduler/run_table.h
+++ b/src/scheduler/run_table.h
@@ -35,10 +35,11 @@
   std::uint32_t renumbered = 0;
   std::uint32_t percent = 0;
   monotonic_time progressed{};
+  bool stop_in_flight = false;
   bool stop_accepted = false;
   monotonic_time stop_ordered{};  // First time.
+  monotonic_time next_stop{};
   monotonic_time stop_accepted_at{};
-  bool order_in_flight = false;
   bool reported = false;  // The entry needs no further report.
   wire::run_reason reason = wire::run_reason::kNone;  // Why it is stopped.
 };
--- /dev/null
+++ b/src/scheduler/tests/supervisor_driver.h
@@ -0,0 +1,228 @@
+#ifndef EGRETRACK_SCHEDULER_TESTS_SUPERVISOR_DRIVER_H_
+#define EGRETRACK_SCHEDULER_TESTS_SUPERVISOR_DRIVER_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "egretrack/scheduler/run_supervisor.h"
+
+namespace egretrack::scheduler {
+
+// Drives a run supervisor with a clock of its own, in the place of its entries
+// and its worker. Entry n is called "e<n>"; its clock is an hour ahead, and the
+// worker's clock started five seconds before the driver.
+class supervisor_driver {
+ public:
+  static constexpr std::chrono::hours kEntryAhead{1};
+  static constexpr milliseconds kWorkerClockAtStart{5000};
+  static constexpr std::int64_t kBorn = 1000;
+
+  static supervisor_options Options() {
+    supervisor_options options;
+    options.agent = "a1";
+    options.agent_incarnation = incarnation{7};
+    options.failure_domain = "palermo";
+    options.first_fence = 10;
+    return options;
+  }
+
+  explicit supervisor_driver(const supervisor_options& options = Options())
+      : core(run_supervisor::Create(options).value()) {
+    Handle(entries_found{{{"e0", "10.0.0.1:7"}, {"e1", "10.0.0.2:7"}}});
+    ReplyToBeats();
+  }
+
+  // A worker that was looked at and runs nothing.
+  void StartWorker() {
+    Handle(Worker());
+    AnswerLook({});
+    ReplyToBeats();
+  }
+
+  static worker_report Worker(std::int64_t born = kBorn,
+                              std::uint64_t sequence = 1) {
+    worker_report report;
+    report.id = "w";
+    report.born = born;
+    report.desk = "gas";
+    report.address = "10.0.0.9:8";
+    report.labels = {"a", "r1"};
+    report.capacity = {16000, 32768, 0};
+    report.sequence = sequence;
+    return report;
+  }
+
+  void Handle(supervisor_event event) {
+    core->Handle(std::move(event), now, commands);
+    core->Advance(now, commands);
+  }
+
+  void Pass(microseconds time) {
+    now += time;
+    core->Advance(now, commands);
+  }
+
+  // Lets time pass while entries and the worker answer.
+  void PassAlive(microseconds time, const std::vector<running_row>& running) {
+    constexpr milliseconds kStep{25};
+    for (microseconds passed{0}; passed < time; passed += kStep) {
+      Pass(kStep);
+      ReplyToBeats();
+      AnswerLook(running);
+    }
+  }
+
+  monotonic_time EntryNow() const { return now + kEntryAhead; }
+  milliseconds WorkerNow() const {
+    return kWorkerClockAtStart +
+           std::chrono::duration_cast<milliseconds>(now.time_since_epoch());
+  }
+
+  wire::entry_run_frame Frame(entry_index entry) const {
+    wire::entry_run_frame frame;
+    frame.entry = "e" + std::to_string(entry);
+    frame.entry_incarnation = incarnation{entry + 1};
+    frame.entry_time = EntryNow();
+    frame.connection = Connection(entry);
+    return frame;
+  }
+
+  // Of the last frame to the entry.
+  connection_number Connection(entry_index entry) const {
+    connection_number connection{1};
+    for (const auto& command : commands) {
+      const auto* send = std::get_if<send_to_entry>(&command);
+      if (send != nullptr && send->entry == entry)
+        connection = send->frame.connection;
+    }
+    return connection;
+  }
+
+  // Answers every beat that was sent since the last call.
+  void ReplyToBeats(std::vector<entry_index> entries = {0, 1}) {
+    const std::size_t end = commands.size();
+    std::vector<std::pair<entry_index, std::uint64_t>> beats;
+    for (; answered_beats < end; ++answered_beats) {
+      const auto* send = std::get_if<send_to_entry>(&commands[answered_beats]);
+      if (send == nullptr)
+        continue;
+      for (const auto& message : send->frame.messages) {
+        if (const auto* beat = std::get_if<wire::agent_beat>(&message))
+          beats.emplace_back(send->entry, beat->sequence);
+      }
+    }
+    for (const auto& [entry, sequence] : beats) {
+      if (std::find(entries.begin(), entries.end(), entry) == entries.end())
+        continue;
+      auto frame = Frame(entry);
+      wire::beat_reply reply;
+      reply.sequence = sequence;
+      frame.messages.emplace_back(reply);
+      Handle(entry_frame{entry, frame});
+    }
+  }
+
+  void Dispatch(std::uint32_t task,
+                milliseconds predicted = milliseconds(100),
+                entry_index entry = 0,
+                const std::string& job_key = "j") {
+    wire::run_dispatch dispatch;
+    dispatch.job = 1;
+    dispatch.task = task;
+    dispatch.attempt = 1;
+    dispatch.job_key = job_key;
+    dispatch.index = task;
+    dispatch.need = {1600, 64, 0};
+    dispatch.spec = "spec";
+    dispatch.predicted = predicted;
+    dispatch.start_by = EntryNow() + seconds(1);
+    dispatch.target = milliseconds(300);
+    dispatch.queue_bound = milliseconds(400);
+    auto frame = Frame(entry);
+    frame.messages.emplace_back(dispatch);
+    Handle(entry_frame{entry, frame});
+  }
+
+  static run_name Name(std::uint32_t task, std::uint32_t run = 1) {
+    return {"j", 0, task, run};
+  }
+
+  template <typename Command>
+  std::vector<Command> All() const {
+    std::vector<Command> found;
+    for (const auto& command : commands) {
+      if (const auto* each = std::get_if<Command>(&command))
+        found.push_back(*each);
+    }
+    return found;
+  }
+
+  // Answers the look that waits, if one does.
+  void AnswerLook(std::vector<running_row> running,
+                  std::vector<ended_row> ended = {},
+                  std::int64_t born = kBorn) {
+    const std::size_t looks = All<look_at_worker>().size();
+    if (looks == answered_looks)
+      return;
+    answered_looks = looks;
+    look_answered answer;
+    answer.result = order_result::kAccepted;
+    answer.born = born;
+    answer.worker_clock = WorkerNow();
+    answer.running = std::move(running);
+    answer.ended = std::move(ended);
+    Handle(answer);
+  }
+
+  void LookFails(order_result result = order_result::kUnanswered) {
+    answered_looks = All<look_at_worker>().size();
+    look_answered answer;
+    answer.result = result;
+    Handle(answer);
+  }
+
+  void Started(const run_name& name,
+               order_result result = order_result::kAccepted) {
+    Handle(start_answered{name, result});
+  }
+
+  std::vector<wire::run_report> Reports() const {
+    std::vector<wire::run_report> reports;
+    for (const auto& send : All<send_to_entry>()) {
+      for (const auto& message : send.frame.messages) {
+        if (const auto* report = std::get_if<wire::run_report>(&message))
+          reports.push_back(*report);
+      }
+    }
+    return reports;
+  }
+
+  // Whether the last beat to the entry says that older runs have ended.
+  std::optional<bool> LastSettled(entry_index entry) const {
+    std::optional<bool> settled;
+    for (const auto& send : All<send_to_entry>()) {
+      for (const auto& message : send.frame.messages) {
+        const auto* beat = std::get_if<wire::agent_beat>(&message);
+        if (beat != nullptr && send.entry == entry)
+          settled = beat->settled;
+      }
+    }
+    return settled;
+  }
+
+  std::unique_ptr<run_supervisor> core;
+  monotonic_time now{seconds(100)};
+  std::vector<supervisor_command> commands;
+  std::size_t answered_beats = 0;
+  std::size_t answered_looks = 0;
+};
+
+}  // namespace egretrack::scheduler
+
+#endif  // EGRETRACK_SCHEDULER_TESTS_SUPERVISOR_DRIVER_H_
