--- a/src/egretrackd/main.cc
+++ b/src/egretrackd/main.cc
@@ -1,5 +1,6 @@
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <memory>
 #include <string>
 #include <thread>
@@ -157,6 +158,11 @@
 }  // namespace
 }  // namespace egretrack
 
+// Ends without static destructors: the thread that waits for signals still
+// runs, and the destruction of the log library has waited for its own threads
+// beyond the platform's grace time.
 int main(int argc, char** argv) {
-  return egretrack::Main(argc, argv);
+  const int code = egretrack::Main(argc, argv);
+  std::fflush(nullptr);
+  std::_Exit(code);
 }
--- a/src/include/egretrack/scheduler/job_scheduler.h
+++ b/src/include/egretrack/scheduler/job_scheduler.h
@@ -138,6 +138,10 @@
   microseconds first_start{0};  // Until the first dispatch.
 };
 
+// A draining entry takes no more jobs; idle connections may be closed.
+struct close_front {};
+
+// A draining entry has answered its last job.
 struct drain_finished {};
 
 using scheduler_command = std::variant<answer_job,
@@ -145,6 +149,7 @@
                                        send_to_agent,
                                        job_measured,
                                        decision_record,
+                                       close_front,
                                        drain_finished>;
 
 // ---- The core -------------------------------------------------------------
@@ -164,8 +169,11 @@
   // Not ready, but accepting: the balancer notices after two looks, a second
   // apart.
   milliseconds drain_grace{2500};
-  // After it new jobs are refused, even while callers go on sending.
-  milliseconds drain_bound{5000};
+  // After it new jobs are refused, even while callers go on sending: a job
+  // takes up to 2.5 s, and the platform ends the process after 6 s.
+  milliseconds drain_bound{3000};
+  // After it what still runs is cut off and answered.
+  milliseconds drain_end{5300};
   milliseconds answer_retention{10000};  // For a job that is sent again.
   double worker_factor_near = 1.5;       // Slowdown away from the near label.
 };
--- a/src/include/egretrack/scheduler/run_supervisor.h
+++ b/src/include/egretrack/scheduler/run_supervisor.h
@@ -172,10 +172,10 @@
   milliseconds entry_silence{600};
   // How long the worker's runs outlive this process.
   milliseconds lease{700};
-  milliseconds renew_interval{250};        // Two renewals may be lost.
+  milliseconds renew_interval{50};         // Two renewals may be lost.
   milliseconds worker_report_bound{5000};  // Three of its reports.
   milliseconds drain_bound{5000};
-  std::uint32_t orders_in_flight = 2;  // Each takes a connection to the worker.
+  std::uint32_t orders_in_flight = 8;  // Each takes a connection to the worker.
   double clock_drift = 0.02;           // Bound on the worker's clock's error.
 };
 
--- a/src/include/egretrack/settings/settings.h
+++ b/src/include/egretrack/settings/settings.h
@@ -121,7 +121,8 @@
   milliseconds store_timeout{500};
   milliseconds store_watch{2000};  // How long the store holds a watch.
   milliseconds drain_grace{2500};
-  milliseconds drain_bound{5000};
+  milliseconds drain_bound{3000};
+  milliseconds drain_end{5300};
   std::string ports_file;
   log_settings log;
 };
@@ -139,7 +140,7 @@
   milliseconds store_timeout{500};
   milliseconds entry_silence{600};
   milliseconds lease{700};
-  milliseconds renew_interval{250};
+  milliseconds renew_interval{50};
   milliseconds drain_bound{5000};
   std::string ports_file;
   log_settings log;
--- a/src/job_agent/worker_caller.cc
+++ b/src/job_agent/worker_caller.cc
@@ -8,12 +8,13 @@
 namespace {
 
 // The worker answers an order within a millisecond or two, on the same
-// machine; what takes longer is lost or carried out late.
-constexpr milliseconds kOrderTimeout{200};
+// machine; what takes much longer is lost or carried out late. Each order that
+// waits holds up the next starts.
+constexpr milliseconds kOrderTimeout{50};
 // On top of the time that a look may wait for an end.
-constexpr milliseconds kLookSlack{200};
-// One for looks, two for starts, one for stops.
-constexpr std::size_t kConnections = 4;
+constexpr milliseconds kLookSlack{50};
+// One for looks, eight for starts, one for stops.
+constexpr std::size_t kConnections = 10;
 
 }  // namespace
 
--- a/src/job_entry/job_entry_control.cc
+++ b/src/job_entry/job_entry_control.cc
@@ -284,6 +284,7 @@
       event_table<scheduler::scheduler_command, &job_entry_control::Answer,
                   &job_entry_control::GiveBacklog, &job_entry_control::Send,
                   &job_entry_control::Measure, &job_entry_control::Log,
+                  &job_entry_control::CloseFront,
                   &job_entry_control::FinishDrain>;
   for (scheduler::scheduler_command& command : commands_)
     table::Call(*this, command, now);
@@ -341,6 +342,12 @@
              command.fields, now);
 }
 
+void job_entry_control::CloseFront(scheduler::close_front& /*command*/,
+                                   monotonic_time& now) {
+  LogEvent("front_closed", false, {}, now);
+  parts_.close_front();
+}
+
 void job_entry_control::FinishDrain(scheduler::drain_finished& /*command*/,
                                     monotonic_time& now) {
   LogEvent("drain_finished", false, {}, now);
--- a/src/job_entry/job_entry_control.h
+++ b/src/job_entry/job_entry_control.h
@@ -84,6 +84,7 @@
   net::frame_router& agents;
   const traffic_counters& traffic;
   std::atomic<bool>& ready;
+  std::function<void()> close_front;
   std::function<void()> drained;
   milliseconds store_watch{0};
   std::vector<std::string> seed_hosts;
@@ -125,6 +126,7 @@
   void Send(scheduler::send_to_agent& command, monotonic_time& now);
   void Measure(scheduler::job_measured& command, monotonic_time& now);
   void Log(scheduler::decision_record& command, monotonic_time& now);
+  void CloseFront(scheduler::close_front& command, monotonic_time& now);
   void FinishDrain(scheduler::drain_finished& command, monotonic_time& now);
   void PerformCommands(monotonic_time now);
   net::http_exchange_ptr TakeExchange(scheduler::caller_token caller);
--- a/src/job_entry/job_entry_process.cc
+++ b/src/job_entry/job_entry_process.cc
@@ -77,6 +77,7 @@
   options.max_jobs = settings.max_jobs;
   options.drain_grace = settings.drain_grace;
   options.drain_bound = settings.drain_bound;
+  options.drain_end = settings.drain_end;
   return options;
 }
 
@@ -132,7 +133,6 @@
       std::unique_lock lock(mutex_);
       drained_changed_.wait(lock, [this] { return drained_; });
     }
-    jobs_server_->Drain();
     const monotonic_time bound = monotonic_clock::now() + kLastResponses;
     while (!jobs_server_->idle() && monotonic_clock::now() < bound)
       std::this_thread::sleep_for(kIdleCheck);
@@ -164,6 +164,7 @@
             .agents = *agents_,
             .traffic = traffic_,
             .ready = ready_,
+            .close_front = [this] { jobs_server_->Drain(); },
             .drained = [this] { OnDrained(); },
             .store_watch = settings_.store_watch,
             .seed_hosts = HostsOf(settings_.seeds)});
--- a/src/scheduler/job_scheduler.cc
+++ b/src/scheduler/job_scheduler.cc
@@ -24,7 +24,8 @@
   const bool valid = !options.entry.empty() && options.max_jobs > 0 &&
                      options.agent_silence.count() > 0 &&
                      options.runs_end_bound > options.agent_silence &&
-                     options.drain_bound >= options.drain_grace;
+                     options.drain_bound >= options.drain_grace &&
+                     options.drain_end >= options.drain_bound;
   if (!valid)
     return MakeError(errc::kInvalidArgument, "options of the job scheduler");
   return std::make_unique<job_scheduler_impl>(std::move(options));
@@ -134,8 +135,14 @@
     if ((elapsed >= options_.drain_grace && quiet) ||
         elapsed >= options_.drain_bound) {
       drain_.Apply(drain_signal::kGraceOver);
+      Emit(close_front{});
     }
   }
+  if (drain_.phase() == drain_phase::kFinishing &&
+      now_ - drain_began_ >= options_.drain_end) {
+    while (!jobs_.empty())
+      GiveUp(*jobs_.begin()->second, job_errc::kDraining);
+  }
   if (drain_.phase() == drain_phase::kFinishing && jobs_.empty() &&
       drain_.Apply(drain_signal::kIdle)) {
     Emit(drain_finished{});
--- a/src/scheduler/run_supervisor_worker.cc
+++ b/src/scheduler/run_supervisor_worker.cc
@@ -16,7 +16,7 @@
 constexpr std::uint32_t kRenumberStep = 16;
 // Unanswered looks in a row after which the lease is left to lapse: whether
 // the worker still obeys is not known any more.
-constexpr std::uint32_t kMaxUnansweredLooks = 2;
+constexpr std::uint32_t kMaxUnansweredLooks = 4;
 // A stop that gets no answer for so long has the same effect.
 constexpr milliseconds kStopBound{300};
 // Between two orders to stop a run.
--- a/src/scheduler/tests/job_scheduler_test.cc
+++ b/src/scheduler/tests/job_scheduler_test.cc
@@ -276,5 +276,24 @@
   EXPECT_TRUE(finished());
 }
 
+// Guards against a job that is taken long after the drain began and cut off
+// without an answer when the platform ends the process (seen on turni-gas,
+// hunt-6308-19: a request 4.8 s after the signal, of 6 s).
+TEST_F(JobScheduler, AnswersEveryJobBeforeTheDrainEnds) {
+  driver_.Handle(drain_requested{});
+  driver_.PassWithBeats(milliseconds(2400), {1, 2});
+  auto job = scheduler_driver::Job(1, "j");
+  job.deadline = milliseconds(4000);
+  driver_.Handle(job);
+  EXPECT_EQ(driver_.TakeSent().size(), 1U);
+  driver_.PassWithBeats(milliseconds(800), {1, 2});
+  driver_.Handle(scheduler_driver::Job(2, "k"));
+  EXPECT_EQ(driver_.AnswerOf(2)->state, job_state::kRefused);
+  EXPECT_EQ(driver_.AnswerOf(2)->code, job_errc::kDraining);
+  driver_.PassWithBeats(milliseconds(2200), {1, 2});
+  ASSERT_TRUE(driver_.AnswerOf(1).has_value());
+  EXPECT_EQ(driver_.AnswerOf(1)->state, job_state::kOutcomeUnknown);
+}
+
 }  // namespace
 }  // namespace egretrack::scheduler
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -120,6 +120,10 @@
     faults.push_back({key_errc::kOutOfRange, "job_entry.drain_bound_ms",
                       "shorter than job_entry.drain_grace_ms"});
   }
+  if (entry.drain_end < entry.drain_bound) {
+    faults.push_back({key_errc::kOutOfRange, "job_entry.drain_end_ms",
+                      "shorter than job_entry.drain_bound_ms"});
+  }
   return entry;
 }
 
