--- a/src/include/egretrack/scheduler/run_supervisor.h
+++ b/src/include/egretrack/scheduler/run_supervisor.h
@@ -53,6 +53,11 @@
 struct worker_left {
   std::string id;
 };
+// What an earlier incarnation of the agent knew of the worker, which may be
+// gone or another one by now.
+struct worker_recalled {
+  worker_report report;
+};
 
 // How an order to the worker ended.
 enum class order_result : std::uint8_t {
@@ -104,6 +109,7 @@
 using supervisor_event = std::variant<entry_frame,
                                       worker_report,
                                       worker_left,
+                                      worker_recalled,
                                       start_answered,
                                       stop_answered,
                                       look_answered,
@@ -149,6 +155,11 @@
   milliseconds wait{0};
 };
 
+// To be kept for the next incarnation of the agent.
+struct keep_worker {
+  worker_report report;
+};
+
 struct supervisor_drained {};
 
 using supervisor_command = std::variant<open_link,
@@ -156,6 +167,7 @@
                                         start_run,
                                         stop_run,
                                         look_at_worker,
+                                        keep_worker,
                                         decision_record,
                                         supervisor_drained>;
 
--- a/src/job_agent/job_agent_control.cc
+++ b/src/job_agent/job_agent_control.cc
@@ -6,6 +6,7 @@
 #include "egretrack/base/event_table.h"
 #include "egretrack/telemetry/process_usage.h"
 #include "egretrack/wire/run_codec.h"
+#include "platform/worker_api.h"
 
 namespace egretrack::job_agent {
 namespace {
@@ -29,13 +30,15 @@
                                           monotonic_time now) {
   using events =
       event_table<control_event, &job_agent_control::OnSupervisorEvent,
-                  &job_agent_control::OnEntries, &job_agent_control::OnSeeds,
+                  &job_agent_control::OnEntries, &job_agent_control::OnWorker,
+                  &job_agent_control::OnKept, &job_agent_control::OnSeeds,
                   &job_agent_control::OnMetrics>;
   for (control_event& event : batch)
     events::Call(*this, event, now);
   const monotonic_time wake = core_->Advance(now, commands_);
   PerformCommands(now);
   log_.ReportLeftOut(now);
+  ReadWorker();
   return std::min(wake, ReadEntries(now));
 }
 
@@ -73,6 +76,45 @@
   core_->Handle(std::move(found), now, commands_);
 }
 
+void job_agent_control::ReadWorker() {
+  if (std::exchange(worker_read_, true))
+    return;
+  parts_.store.ReadOne(
+      platform::kWorkersTable, parts_.agent,
+      [&events = parts_.events](result<platform::store_page> page) {
+        events.PushRequired(worker_answer{std::move(page)});
+      });
+}
+
+void job_agent_control::OnWorker(worker_answer& event, monotonic_time& now) {
+  if (!event.page) {
+    LogEvent("worker_not_recalled", true,
+             {{"reason", event.page.error().ToString()}}, now);
+    return;
+  }
+  for (const platform::store_row& row : event.page->rows) {
+    if (row.key != parts_.agent)
+      continue;
+    auto worker = platform::DecodeWorker(row.value);
+    if (!worker) {
+      LogEvent("worker_not_recalled", true,
+               {{"reason", worker.error().ToString()}}, now);
+      return;
+    }
+    LogEvent("worker_recalled", false, {{"worker", worker->id}}, now);
+    core_->Handle(scheduler::worker_recalled{std::move(*worker)}, now,
+                  commands_);
+  }
+}
+
+// A worker that is not kept costs the next incarnation the wait for a report.
+void job_agent_control::OnKept(keep_answer& event, monotonic_time& now) {
+  if (!event.version) {
+    LogEvent("worker_not_kept", true,
+             {{"reason", event.version.error().ToString()}}, now);
+  }
+}
+
 monotonic_time job_agent_control::ReadEntries(monotonic_time now) {
   const bool wanted = !entries_read_ || core_->gauges().entries == 0;
   if (!wanted || reading_)
@@ -130,7 +172,8 @@
       event_table<scheduler::supervisor_command, &job_agent_control::Open,
                   &job_agent_control::Send, &job_agent_control::Start,
                   &job_agent_control::Stop, &job_agent_control::Look,
-                  &job_agent_control::Log, &job_agent_control::FinishDrain>;
+                  &job_agent_control::Keep, &job_agent_control::Log,
+                  &job_agent_control::FinishDrain>;
   for (scheduler::supervisor_command& command : commands_)
     table::Call(*this, command, now);
   commands_.clear();
@@ -169,6 +212,15 @@
   parts_.worker.Look(command);
 }
 
+void job_agent_control::Keep(scheduler::keep_worker& command,
+                             monotonic_time& /*now*/) {
+  parts_.store.Write({std::string(platform::kWorkersTable), parts_.agent,
+                      platform::EncodeWorker(command.report), std::nullopt},
+                     [&events = parts_.events](result<std::uint64_t> version) {
+                       events.PushRequired(keep_answer{std::move(version)});
+                     });
+}
+
 void job_agent_control::Log(scheduler::decision_record& command,
                             monotonic_time& now) {
   log_.Write(scheduler::Name(command.kind),
--- a/src/job_agent/job_agent_control.h
+++ b/src/job_agent/job_agent_control.h
@@ -25,6 +25,14 @@
 struct entries_answer {
   result<platform::store_page> page;
 };
+// What the agent kept of its worker before it restarted.
+struct worker_answer {
+  result<platform::store_page> page;
+};
+// Of the write that keeps the worker.
+struct keep_answer {
+  result<std::uint64_t> version;
+};
 struct seeds_changed {
   std::vector<wire::entry_member> members;
 };
@@ -34,6 +42,8 @@
 
 using control_event = std::variant<scheduler::supervisor_event,
                                    entries_answer,
+                                   worker_answer,
+                                   keep_answer,
                                    seeds_changed,
                                    metrics_request>;
 using control_mailbox = mailbox<control_event>;
@@ -46,6 +56,7 @@
 
 // What the control thread uses; all outlive it.
 struct control_parts {
+  std::string agent;
   control_mailbox& events;
   platform::store& store;
   net::frame_dealer& entries;
@@ -69,12 +80,17 @@
   void OnSupervisorEvent(scheduler::supervisor_event& event,
                          monotonic_time& now);
   void OnEntries(entries_answer& event, monotonic_time& now);
+  void OnWorker(worker_answer& event, monotonic_time& now);
+  void OnKept(keep_answer& event, monotonic_time& now);
   void OnSeeds(seeds_changed& event, monotonic_time& now);
   void OnMetrics(metrics_request& event, monotonic_time& now);
 
   // Reads the list of entries until it was read once, and again while no entry
   // is heard.
   monotonic_time ReadEntries(monotonic_time now);
+  // Reads once what was kept of the worker; without an answer the worker's own
+  // report has to be waited for.
+  void ReadWorker();
 
   // ---- Commands ----
   void Open(scheduler::open_link& command, monotonic_time& now);
@@ -82,6 +98,7 @@
   void Start(scheduler::start_run& command, monotonic_time& now);
   void Stop(scheduler::stop_run& command, monotonic_time& now);
   void Look(scheduler::look_at_worker& command, monotonic_time& now);
+  void Keep(scheduler::keep_worker& command, monotonic_time& now);
   void Log(scheduler::decision_record& command, monotonic_time& now);
   void FinishDrain(scheduler::supervisor_drained& command, monotonic_time& now);
   void PerformCommands(monotonic_time now);
@@ -95,6 +112,7 @@
   const std::unique_ptr<telemetry::metrics> metrics_;
   telemetry::event_log log_;
   std::vector<scheduler::supervisor_command> commands_;
+  bool worker_read_ = false;
   bool entries_read_ = false;
   bool reading_ = false;
   bool store_lost_ = false;
--- a/src/job_agent/job_agent_process.cc
+++ b/src/job_agent/job_agent_process.cc
@@ -128,8 +128,9 @@
  private:
   void StartControl(std::unique_ptr<scheduler::run_supervisor> core) {
     control_ = std::make_unique<job_agent_control>(
-        std::move(core), control_parts{events_, *store_, *dealer_, *worker_,
-                                       traffic_, [this] { OnDrained(); }});
+        std::move(core),
+        control_parts{settings_.id, events_, *store_, *dealer_, *worker_,
+                      traffic_, [this] { OnDrained(); }});
     events_.PushRequired(scheduler::supervisor_event(
         scheduler::entries_found{MembersOf(settings_)}));
     loop_ = std::make_unique<control_loop<control_event>>(
--- a/src/net/frame_socket.cc
+++ b/src/net/frame_socket.cc
@@ -12,6 +12,9 @@
 // Ends connections that do not speak the protocol.
 constexpr milliseconds kHandshakeTimeout{5000};
 constexpr milliseconds kReconnectInterval{100};
+// A machine without power does not answer, and the system would try it again
+// only after a second, then after two more.
+constexpr milliseconds kConnectTimeout{250};
 
 int ToMs(milliseconds time) {
   return static_cast<int>(time.count());
@@ -32,6 +35,7 @@
   socket.set(zmq::sockopt::heartbeat_timeout, ToMs(kHeartbeatTimeout));
   socket.set(zmq::sockopt::handshake_ivl, ToMs(kHandshakeTimeout));
   socket.set(zmq::sockopt::reconnect_ivl, ToMs(kReconnectInterval));
+  socket.set(zmq::sockopt::connect_timeout, ToMs(kConnectTimeout));
   socket.set(zmq::sockopt::ipv6, IsIpv6(address));
 }
 
--- a/src/scheduler/run_supervisor.cc
+++ b/src/scheduler/run_supervisor.cc
@@ -57,6 +57,7 @@
   using events = event_table<
       supervisor_event, &run_supervisor_impl::OnFrame,
       &run_supervisor_impl::OnWorkerReport, &run_supervisor_impl::OnWorkerLeft,
+      &run_supervisor_impl::OnWorkerRecalled,
       &run_supervisor_impl::OnStartAnswered,
       &run_supervisor_impl::OnStopAnswered,
       &run_supervisor_impl::OnLookAnswered,
@@ -127,8 +128,7 @@
     return;
   draining_ = true;
   drain_end_ = now_ + options_.drain_bound;
-  for (entry_link& link : links_)
-    link.next_beat = now_;
+  BeatSoon();
 }
 
 void run_supervisor_impl::CheckDrain() {
@@ -153,33 +153,41 @@
     return;
   if (worker_ && !same && event.born < worker_->facts.born)
     return;
+  const bool news = !same || event.draining != worker_->facts.draining;
+  TakeReport(event);
+  if (news)
+    commands_->emplace_back(keep_worker{worker_->facts});
+}
+
+// The worker itself tells by its next report, and by its answers to looks,
+// whether it is still the one that was kept.
+void run_supervisor_impl::OnWorkerRecalled(worker_recalled& event) {
+  if (!worker_)
+    TakeReport(event.report);
+}
+
+void run_supervisor_impl::TakeReport(worker_report& report) {
+  const bool same = worker_ && worker_->facts.id == report.id &&
+                    worker_->facts.born == report.born;
   if (!same) {
     if (worker_)
       ForgetWorker(decision_kind::kWorkerRestarted);
     worker_.emplace();
     Record(decision_kind::kWorkerAppeared, "",
-           {{"worker", event.id},
-            {"desk", event.desk},
-            {"cpu_milli", event.capacity.cpu_milli},
-            {"born_ms", event.born}});
-    for (entry_link& link : links_)
-      link.next_beat = now_;
+           {{"worker", report.id},
+            {"desk", report.desk},
+            {"cpu_milli", report.capacity.cpu_milli},
+            {"born_ms", report.born}});
+    BeatSoon();
   }
   worker_->heard = now_;
-  if (event.draining && !worker_->draining) {
+  if (report.draining && !worker_->draining) {
     worker_->draining = true;
-    Record(decision_kind::kWorkerDraining, "", {{"worker", event.id}});
-    for (entry_link& link : links_)
-      link.next_beat = now_;
-    std::vector<std::uint64_t> queued;
-    for (const auto& [number, run] : runs_.all()) {
-      if (run.life.phase() == run_phase::kQueued)
-        queued.push_back(number);
-    }
-    for (const std::uint64_t number : queued)
-      Refuse(number, wire::run_reason::kDraining);
+    Record(decision_kind::kWorkerDraining, "", {{"worker", report.id}});
+    BeatSoon();
+    RefuseQueued(wire::run_reason::kDraining);
   }
-  worker_->facts = std::move(event);
+  worker_->facts = std::move(report);
 }
 
 void run_supervisor_impl::OnWorkerLeft(worker_left& event) {
--- a/src/scheduler/run_supervisor_impl.h
+++ b/src/scheduler/run_supervisor_impl.h
@@ -45,11 +45,13 @@
   void OnFrame(entry_frame& event);
   void OnWorkerReport(worker_report& event);
   void OnWorkerLeft(worker_left& event);
+  void OnWorkerRecalled(worker_recalled& event);
   void OnStartAnswered(start_answered& event);
   void OnStopAnswered(stop_answered& event);
   void OnLookAnswered(look_answered& event);
   void OnEntriesFound(entries_found& event);
   void OnDrain(agent_drain_requested& event);
+  void TakeReport(worker_report& report);
   void Begin(monotonic_time now, std::vector<supervisor_command>& commands);
   monotonic_time NextWake() const;
   void ExpireQueued();
@@ -69,6 +71,8 @@
   void DropRunsOf(entry_index entry, wire::run_reason reason);
   void CheckLinks();
   void SendBeat(entry_index entry);
+  // Lets every entry know at once what has changed.
+  void BeatSoon();
   void SendFrames();
   wire::worker_load Load(const entry_link& link) const;
   bool IsSettled(entry_index entry) const;
@@ -80,6 +84,7 @@
   void OrderStops();
   void Stop(agent_run& run, wire::run_reason reason);
   void Refuse(std::uint64_t number, wire::run_reason reason);
+  void RefuseQueued(wire::run_reason reason);
   void End(std::uint64_t number, wire::run_end end, wire::run_reason reason);
   void Confirm(agent_run& run);
   void Look();
--- a/src/scheduler/run_supervisor_links.cc
+++ b/src/scheduler/run_supervisor_links.cc
@@ -10,7 +10,7 @@
 
 // A link without runs is opened anew after this silence; long enough for an
 // entry that starts, short enough for its first callers.
-constexpr milliseconds kIdleSilence{1500};
+constexpr milliseconds kIdleSilence{900};
 
 }  // namespace
 
@@ -234,6 +234,11 @@
   link.next_beat = now_ + options_.beat_interval;
 }
 
+void run_supervisor_impl::BeatSoon() {
+  for (entry_link& link : links_)
+    link.next_beat = now_;
+}
+
 void run_supervisor_impl::SendFrames() {
   for (entry_index entry = 0; entry < links_.size(); ++entry) {
     entry_link& link = links_[entry];
--- a/src/scheduler/run_supervisor_worker.cc
+++ b/src/scheduler/run_supervisor_worker.cc
@@ -160,6 +160,16 @@
   runs_.Erase(number);
 }
 
+void run_supervisor_impl::RefuseQueued(wire::run_reason reason) {
+  std::vector<std::uint64_t> queued;
+  for (const auto& [number, run] : runs_.all()) {
+    if (run.life.phase() == run_phase::kQueued)
+      queued.push_back(number);
+  }
+  for (const std::uint64_t number : queued)
+    Refuse(number, reason);
+}
+
 // ---- Stops ----------------------------------------------------------------
 
 void run_supervisor_impl::Stop(agent_run& run, wire::run_reason reason) {
@@ -391,8 +401,7 @@
   TakeRunning(event.running);
   if (!worker_->reconciled && foreign_.empty()) {
     worker_->reconciled = true;
-    for (entry_link& link : links_)
-      link.next_beat = now_;
+    BeatSoon();
   }
 }
 
@@ -416,8 +425,7 @@
   foreign_.clear();
   looks_unanswered_ = 0;
   next_look_ = now_;
-  for (entry_link& link : links_)
-    link.next_beat = now_;
+  BeatSoon();
 }
 
 void run_supervisor_impl::CheckWorker() {
--- a/src/scheduler/tests/run_supervisor_test.cc
+++ b/src/scheduler/tests/run_supervisor_test.cc
@@ -193,6 +193,32 @@
   EXPECT_EQ(driver.LastSettled(0), true);
 }
 
+// Guards against an agent that waits for its worker's next report after a
+// restart, up to 1.5 s, although it knew the worker before.
+TEST(RunSupervisorStart, RecallsItsWorker) {
+  supervisor_driver first;
+  first.Handle(supervisor_driver::Worker());
+  const auto kept = first.All<keep_worker>();
+  ASSERT_EQ(kept.size(), 1U);
+  supervisor_driver second;
+  second.Handle(worker_recalled{kept[0].report});
+  second.AnswerLook({});
+  second.ReplyToBeats();
+  second.Dispatch(0);
+  EXPECT_EQ(second.All<start_run>().size(), 1U);
+  EXPECT_TRUE(second.All<keep_worker>().empty());
+}
+
+// Guards against a recalled worker that has been replaced meanwhile.
+TEST(RunSupervisorStart, ForgetsARecalledWorkerThatIsAnother) {
+  supervisor_driver driver;
+  driver.Handle(worker_recalled{supervisor_driver::Worker()});
+  driver.AnswerLook({}, {}, 2000);
+  EXPECT_FALSE(driver.core->gauges().has_worker);
+  driver.Handle(supervisor_driver::Worker(2000));
+  EXPECT_TRUE(driver.core->gauges().has_worker);
+}
+
 // Guards against a fencing token that an earlier incarnation outbid, because
 // the clock was set back.
 TEST_F(RunSupervisor, RaisesARefusedFence) {
