--- a/src/scheduler/placement.cc
+++ b/src/scheduler/placement.cc
@@ -10,8 +10,13 @@
 // the free room decide.
 constexpr microseconds kFinishStep{20000};
 
+// Predicted waits are too short, since other entries send tasks to the same
+// free room before their effect is seen.
+constexpr int kWaitWeight = 4;
+
 auto Rank(const placement_candidate& candidate) {
-  return std::tuple((candidate.wait + candidate.run) / kFinishStep,
+  return std::tuple((kWaitWeight * candidate.wait + candidate.run) /
+                        kFinishStep,
                     !candidate.same_domain, -candidate.free_cpu_milli);
 }
 
