--- a/src/include/egretrack/net/http.h
+++ b/src/include/egretrack/net/http.h
@@ -82,10 +82,16 @@
  public:
   using handler = std::function<void(http_exchange_ptr)>;
 
-  // Listens and serves on `threads` threads of its own. Port 0 lets the system
-  // choose. Too large, malformed and slow requests are answered with 4xx and a
-  // JSON body {"error": ..., "message": ...} without calling the handler.
-  // Errors: those of the system.
+  // Takes the address, but refuses connections until Open() is called. Serves
+  // on `threads` threads of its own. Port 0 lets the system choose. Too large,
+  // malformed and slow requests are answered with 4xx and a JSON body {"error":
+  // ..., "message": ...} without calling the handler. Errors: those of the
+  // system.
+  static result<std::unique_ptr<http_server>> Bind(const tcp_address& address,
+                                                   unsigned threads,
+                                                   http_limits limits,
+                                                   handler on_request);
+  // Bind() and Open().
   static result<std::unique_ptr<http_server>> Listen(const tcp_address& address,
                                                      unsigned threads,
                                                      http_limits limits,
@@ -93,6 +99,8 @@
   virtual ~http_server() = default;
 
   virtual tcp_address local_address() const = 0;
+  // Begins to accept connections. Errors: those of the system.
+  virtual result<void> Open() = 0;
   // Stops accepting connections, closes idle ones, answers open requests with
   // "Connection: close". Returns at once.
   virtual void Drain() = 0;
--- a/src/job_entry/job_entry_control.cc
+++ b/src/job_entry/job_entry_control.cc
@@ -89,6 +89,7 @@
   monotonic_time wake = core_->Advance(now, commands_);
   PerformCommands(now);
   parts_.ready = core_->ready(now);
+  OpenFront(now);
   NoteStore(now);
   wake = std::min({wake, configuration_table_.Advance(now),
                    members_table_.Advance(now), AskPeer(now)});
@@ -158,6 +159,20 @@
   }
 }
 
+// Callers of an entry that can't serve them yet are refused their connections,
+// so that they turn to another one; a refused job would be lost to them.
+void job_entry_control::OpenFront(monotonic_time now) {
+  if (front_open_ || !parts_.ready)
+    return;
+  front_open_ = true;
+  const auto opened = parts_.open_front();
+  if (opened)
+    LogEvent("front_opened", false, {}, now);
+  else
+    LogEvent("front_not_opened", true, {{"reason", opened.error().ToString()}},
+             now);
+}
+
 // ---- Store and peers ------------------------------------------------------
 
 // A document with a fault is left out; the store accepts only valid ones, so
--- a/src/job_entry/job_entry_control.h
+++ b/src/job_entry/job_entry_control.h
@@ -84,6 +84,8 @@
   net::frame_router& agents;
   const traffic_counters& traffic;
   std::atomic<bool>& ready;
+  // Lets callers connect; called once, when the entry can serve them.
+  std::function<result<void>()> open_front;
   std::function<void()> close_front;
   std::function<void()> drained;
   milliseconds store_watch{0};
@@ -120,6 +122,8 @@
   void NoteStore(monotonic_time now);
   std::vector<std::string> PeerHosts() const;
 
+  void OpenFront(monotonic_time now);
+
   // ---- Commands ----
   void Answer(scheduler::answer_job& command, monotonic_time& now);
   void GiveBacklog(scheduler::answer_backlog& command, monotonic_time& now);
@@ -154,6 +158,7 @@
   bool asking_peer_ = false;
   monotonic_time next_peer_{};
   std::size_t peer_turn_ = 0;
+  bool front_open_ = false;
   bool store_lost_ = false;
   monotonic_time store_lost_at_{};
   std::map<std::string, std::uint64_t> ended_jobs_;  // By metric labels.
--- a/src/job_entry/job_entry_process.cc
+++ b/src/job_entry/job_entry_process.cc
@@ -112,9 +112,9 @@
       return core.error();
     if (auto bound = BindAgents(); !bound)
       return bound;
-    StartControl(std::move(*core));
     if (auto listening = Listen(); !listening)
       return listening;
+    StartControl(std::move(*core));
     return WritePorts();
   }
 
@@ -164,6 +164,7 @@
             .agents = *agents_,
             .traffic = traffic_,
             .ready = ready_,
+            .open_front = [this] { return jobs_server_->Open(); },
             .close_front = [this] { jobs_server_->Drain(); },
             .drained = [this] { OnDrained(); },
             .store_watch = settings_.store_watch,
@@ -197,7 +198,7 @@
     limits.connections = settings_.connections;
     limits.body_bytes = kMaxBodyBytes;
     limits.header_bytes = kMaxHeaderBytes;
-    auto jobs = net::http_server::Listen(
+    auto jobs = net::http_server::Bind(
         addresses_.jobs, kHttpThreads, limits,
         [this](const net::http_exchange_ptr& exchange) { OnCaller(exchange); });
     if (!jobs)
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -26,7 +26,7 @@
         acceptor_(asio::make_strand(server_->io.context())),
         pause_(acceptor_.get_executor()) {}
 
-  error_code Open(const tcp_address& address) {
+  error_code Bind(const tcp_address& address) {
     error_code failure;
     const auto ip = asio::ip::make_address(address.host, failure);
     if (failure)
@@ -39,8 +39,11 @@
     if (failure)
       return failure;
     acceptor_.bind(endpoint, failure);
-    if (failure)
-      return failure;
+    return failure;
+  }
+
+  error_code Listen() {
+    error_code failure;
     acceptor_.listen(tcp::socket::max_listen_connections, failure);
     return failure;
   }
@@ -117,7 +120,6 @@
       : state_(std::move(state)), listener_(std::move(acceptor)) {
     const tcp::endpoint endpoint = listener_->local_endpoint();
     address_ = {endpoint.address().to_string(), endpoint.port()};
-    listener_->Start();
   }
 
   http_server_impl(const http_server_impl&) = delete;
@@ -134,6 +136,14 @@
 
   tcp_address local_address() const override { return address_; }
 
+  result<void> Open() override {
+    const error_code failure = listener_->Listen();
+    if (failure)
+      return MakeError(failure, "listen at " + address_.ToString());
+    listener_->Start();
+    return {};
+  }
+
   void Drain() override {
     state_->draining = true;
     listener_->Stop();
@@ -171,10 +181,23 @@
     unsigned threads,
     http_limits limits,
     handler on_request) {
+  auto bound = Bind(address, threads, limits, std::move(on_request));
+  if (!bound)
+    return bound;
+  if (const auto open = (*bound)->Open(); !open)
+    return open.error();
+  return bound;
+}
+
+result<std::unique_ptr<http_server>> http_server::Bind(
+    const tcp_address& address,
+    unsigned threads,
+    http_limits limits,
+    handler on_request) {
   auto state = std::make_shared<http_server_state>(threads, limits,
                                                    std::move(on_request));
   auto acceptor = std::make_shared<listener>(state);
-  const error_code failure = acceptor->Open(address);
+  const error_code failure = acceptor->Bind(address);
   if (failure)
     return MakeError(failure, "listen at " + address.ToString());
   return std::make_unique<http_server_impl>(std::move(state),
--- a/src/net/tests/http_test.cc
+++ b/src/net/tests/http_test.cc
@@ -14,6 +14,28 @@
 namespace egretrack::net {
 namespace {
 
+// Guards against a server that takes connections before it can serve them.
+TEST(HttpServer, RefusesConnectionsUntilItIsOpen) {
+  auto server = http_server::Bind({"127.0.0.1", 0}, 1, {},
+                                  [](const http_exchange_ptr& exchange) {
+                                    exchange->Respond({200, {}, "served"});
+                                  });
+  ASSERT_TRUE(server.has_value());
+  const auto client = http_client::Create({});
+  http_request request;
+  request.method = "GET";
+  request.target = "/";
+  const auto before = client->CallAndWait((*server)->local_address(), request,
+                                          milliseconds(1000));
+  EXPECT_FALSE(before.ok);
+  EXPECT_EQ(before.failure.stage, call_stage::kNotSent);
+  ASSERT_TRUE((*server)->Open().has_value());
+  const auto after = client->CallAndWait((*server)->local_address(), request,
+                                         milliseconds(1000));
+  ASSERT_TRUE(after.ok);
+  EXPECT_EQ(after.response.body, "served");
+}
+
 constexpr milliseconds kCallTimeout{5000};
 constexpr seconds kPatience{10};
 
