--- /dev/null
+++ b/src/wire/tests/run_codec_test.cc
@@ -0,0 +1,83 @@
+#include "egretrack/wire/run_codec.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace egretrack::wire {
+namespace {
+
+std::span<const std::byte> Bytes(const std::string& text) {
+  return std::as_bytes(std::span(text));
+}
+
+agent_run_frame AgentFrame() {
+  agent_run_frame frame;
+  frame.agent = "a1";
+  frame.agent_incarnation = incarnation{0xfedcba9876543210};
+  frame.connection = connection_number{3};
+  frame.load = {12, {-1600, 64, 0}, 2, microseconds(1500)};
+  agent_beat beat;
+  beat.sequence = 9;
+  beat.failure_domain = "palermo";
+  beat.members_hash = 77;
+  beat.worker.push_back({"w", "gas", {"a", "r1"}, {16000, 32768, 1}});
+  beat.draining = true;
+  beat.settled = true;
+  frame.messages.emplace_back(beat);
+  frame.messages.emplace_back(run_report{5, 2, 3, run_end::kLost,
+                                         run_reason::kStalled, microseconds(7),
+                                         microseconds(8)});
+  return frame;
+}
+
+entry_run_frame EntryFrame() {
+  entry_run_frame frame;
+  frame.connection = connection_number{3};
+  frame.entry = "e1";
+  frame.entry_incarnation = incarnation{42};
+  frame.entry_time = monotonic_time(microseconds(123456789));
+  frame.messages.emplace_back(beat_reply{9, 77, {{"e1", "10.0.0.1:7"}}, true});
+  run_dispatch dispatch;
+  dispatch.job = 5;
+  dispatch.task = 2;
+  dispatch.attempt = 3;
+  dispatch.job_key = "5c0e";
+  dispatch.step = 1;
+  dispatch.index = 17;
+  dispatch.need = {1600, 64, 0};
+  dispatch.spec = std::string("a\0b", 3);
+  dispatch.predicted = milliseconds(51);
+  dispatch.start_by = monotonic_time(microseconds(99));
+  dispatch.target = microseconds(-5);
+  dispatch.queue_bound = milliseconds(100);
+  frame.messages.emplace_back(dispatch);
+  frame.messages.emplace_back(run_cancel{5, {1, 2}});
+  return frame;
+}
+
+// Guards against fields that are lost or swapped on the way.
+TEST(RunCodec, KeepsEveryField) {
+  EXPECT_EQ(DecodeAgentRunFrame(Bytes(EncodeFrame(AgentFrame()))).value(),
+            AgentFrame());
+  EXPECT_EQ(DecodeEntryRunFrame(Bytes(EncodeFrame(EntryFrame()))).value(),
+            EntryFrame());
+}
+
+// Guards against a process that ends on bytes from elsewhere.
+RC_GTEST_PROP(RunCodec, SurvivesAnyBytes, (const std::string& bytes)) {
+  static_cast<void>(DecodeAgentRunFrame(Bytes(bytes)));
+  static_cast<void>(DecodeEntryRunFrame(Bytes(bytes)));
+}
+
+// Guards against frames that were cut off or damaged and still are believed to
+// be whole: the parser rejects them or reads another valid frame.
+RC_GTEST_PROP(RunCodec, SurvivesDamagedFrames, ()) {
+  std::string bytes = EncodeFrame(AgentFrame());
+  const auto at = *rc::gen::inRange<std::size_t>(0, bytes.size());
+  bytes[at] = static_cast<char>(*rc::gen::inRange(0, 256));
+  bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
+  static_cast<void>(DecodeAgentRunFrame(Bytes(bytes)));
+}
+
+}  // namespace
+}  // namespace egretrack::wire
