--- a/src/egretrackctl/commands/command.h
+++ b/src/egretrackctl/commands/command.h
@@ -39,6 +39,7 @@
 std::span<const command_entry> ProcessCommands();
 std::span<const command_entry> JobCommands();
 std::span<const command_entry> ReportCommands();
+std::span<const command_entry> LogCommands();
 
 }  // namespace egretrack::ctl
 
--- a/src/egretrackctl/commands/command_line.cc
+++ b/src/egretrackctl/commands/command_line.cc
@@ -20,8 +20,9 @@
 constexpr std::int64_t kMaxTimeoutMs = 3600000;
 
 using command_group = std::span<const command_entry> (*)();
-constexpr std::array<command_group, 4> kGroups{
-    &ConfigurationCommands, &ProcessCommands, &JobCommands, &ReportCommands};
+constexpr std::array<command_group, 5> kGroups{&ConfigurationCommands,
+                                               &ProcessCommands, &JobCommands,
+                                               &ReportCommands, &LogCommands};
 
 std::string ExitCodeHelp() {
   std::string text = "Exit codes:";
--- a/src/egretrackctl/commands/tests/command_line_test.cc
+++ b/src/egretrackctl/commands/tests/command_line_test.cc
@@ -309,5 +309,33 @@
   EXPECT_EQ(out_.str(), "{\"versions\":[]}\n");
 }
 
+// Guards against a history that mixes requests whose ids begin alike, that is
+// out of order, or that leaves out why a process acted.
+TEST_F(CommandLine, ExplainsOneJobInOrderOfTime) {
+  std::ofstream(file_)
+      << "2026-02-05T22:27:27.500Z INFO  entry.jobs: event=job_answered "
+         "job=ab\n"
+         "2026-02-05T22:27:27.100Z INFO  entry.jobs: event=job_accepted "
+         "job=ab\n"
+         "2026-02-05T22:27:27.200Z INFO  entry.jobs: event=job_accepted "
+         "job=abc\n"
+         "2026-02-05T22:27:27.300Z WARN  agent.jobs: event=worker_gone runs=8\n"
+         "2026-02-05T22:27:29.000Z INFO  entry.jobs: event=store_lost\n"
+         "not a line of a log\n";
+  EXPECT_EQ(Run({"explain", "ab", file_}), exit_code::kOk) << err_.str();
+  EXPECT_EQ(out_.str(), file_ +
+                            ": 2026-02-05T22:27:27.100Z INFO  entry.jobs: "
+                            "event=job_accepted job=ab\n" +
+                            file_ +
+                            ": 2026-02-05T22:27:27.500Z INFO  entry.jobs: "
+                            "event=job_answered job=ab\n");
+  EXPECT_EQ(Run({"explain", "ab", file_, "--context"}), exit_code::kOk);
+  EXPECT_NE(out_.str().find("worker_gone"), std::string::npos);
+  EXPECT_EQ(out_.str().find("store_lost"), std::string::npos);
+  EXPECT_EQ(out_.str().find("job=abc"), std::string::npos);
+  EXPECT_NE(Run({"explain", "zz", file_}), exit_code::kOk);
+  EXPECT_NE(Run({"explain", "ab", "/nonexistent/file"}), exit_code::kOk);
+}
+
 }  // namespace
 }  // namespace egretrack::ctl
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -41,6 +41,9 @@
   struct refusal {
     job_errc code = job_errc::kOverloaded;
     milliseconds retry_after{0};
+    // Of the worker with the earliest predicted end, if workers were compared.
+    microseconds wait{0};
+    microseconds run{0};
   };
   struct remembered_answer {
     job_state state = job_state::kCompleted;
--- a/src/scheduler/job_scheduler_jobs.cc
+++ b/src/scheduler/job_scheduler_jobs.cc
@@ -52,19 +52,20 @@
 void job_scheduler_impl::OnSubmission(job_submission& event) {
   last_submission_ = now_;
   if (!configuration_)
-    return Refuse(event, "", {job_errc::kNotReady, kRetryAfter});
+    return Refuse(event, "", {job_errc::kNotReady, kRetryAfter, {}, {}});
   const auto route = routes_.Find(event.host, event.path);
   if (!route)
-    return Refuse(event, "", {job_errc::kUnknownKind});
+    return Refuse(event, "", {job_errc::kUnknownKind, {}, {}, {}});
   const std::string job_key(route->rest);
   if (!drain_.accepts_jobs())
-    return Refuse(event, job_key, {job_errc::kDraining, kRetryAfter});
+    return Refuse(event, job_key, {job_errc::kDraining, kRetryAfter, {}, {}});
   if (Attach(event, JobKey(route->kind->name, route->rest)))
     return;
   if (auto refused = CheckContent(event))
     return Refuse(event, job_key, *refused);
   if (jobs_.size() >= options_.max_jobs)
-    return Refuse(event, job_key, {job_errc::kRecordsFull, kRetryAfter});
+    return Refuse(event, job_key,
+                  {job_errc::kRecordsFull, kRetryAfter, {}, {}});
   auto job = MakeJob(event, *route);
   if (auto refused = CheckCapacity(*job))
     return Refuse(event, job_key, *refused);
@@ -97,9 +98,9 @@
 std::optional<job_scheduler_impl::refusal> job_scheduler_impl::CheckContent(
     const job_submission& event) const {
   if (!event.unsupported.empty())
-    return refusal{job_errc::kUnsupported};
+    return refusal{job_errc::kUnsupported, {}, {}, {}};
   if (event.spec.size() > kMaxSpecBytes)
-    return refusal{job_errc::kPayloadTooLarge};
+    return refusal{job_errc::kPayloadTooLarge, {}, {}, {}};
   std::uint64_t tasks = 0;
   for (std::size_t number = 0; number < event.steps.size(); ++number) {
     const job_step& step = event.steps[number];
@@ -107,14 +108,14 @@
     const bool ordered = std::ranges::all_of(
         step.after, [number](std::uint32_t before) { return before < number; });
     if (step.count == 0 || !ordered)
-      return refusal{job_errc::kNoTasks};
+      return refusal{job_errc::kNoTasks, {}, {}, {}};
   }
   if (tasks == 0)
-    return refusal{job_errc::kNoTasks};
+    return refusal{job_errc::kNoTasks, {}, {}, {}};
   if (tasks > kMaxTasks)
-    return refusal{job_errc::kTooManyTasks};
+    return refusal{job_errc::kTooManyTasks, {}, {}, {}};
   if (event.deadline && event.deadline->count() <= 0)
-    return refusal{job_errc::kInvalidDeadline};
+    return refusal{job_errc::kInvalidDeadline, {}, {}, {}};
   return std::nullopt;
 }
 
@@ -164,11 +165,14 @@
           return candidate.wait + Scale(candidate.run, kHopelessShare);
         });
     const microseconds left = job.deadline - now_;
-    if (Scale(earliest.run, kHopelessShare) > left)
-      return refusal{job_errc::kDeadlineUnreachable};
+    if (Scale(earliest.run, kHopelessShare) > left) {
+      return refusal{job_errc::kDeadlineUnreachable, milliseconds(0),
+                     earliest.wait, earliest.run};
+    }
     if (earliest.wait + Scale(earliest.run, kHopelessShare) > left) {
       return refusal{job_errc::kOverloaded,
-                     std::chrono::ceil<milliseconds>(earliest.wait)};
+                     std::chrono::ceil<milliseconds>(earliest.wait),
+                     earliest.wait, earliest.run};
     }
   }
   return std::nullopt;
@@ -202,6 +206,9 @@
       {{"reason", std::string(decision::Name(why.code))},
        {"asked_for", event.unsupported},
        {"retry_after_ms", why.retry_after.count()},
+       {"deadline_ms", event.deadline.value_or(milliseconds(0)).count()},
+       {"wait_us", why.wait.count()},
+       {"run_us", why.run.count()},
        {"config_version", static_cast<std::int64_t>(
                               configuration_ ? configuration_->version : 0)}});
   Emit(
