--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 JOBS ?= $(shell nproc)
 BUILD ?= build
 
-.PHONY: setup build run test format lint bench bench-smoke sanitize
+.PHONY: setup build run test format lint bench bench-smoke sanitize soak
 
 setup:
 	tools/setup
@@ -31,5 +31,12 @@
 bench: build
 	tools/bench $(BUILD) full
 
+# Fault soak of entries and agents: make soak SEED=7 SECONDS=60 SCALE=2
+SEED ?= $(shell date +%s)
+SECONDS ?= 30
+SCALE ?= 1
+soak: build
+	tools/soak $(BUILD) $(SEED) $(SECONDS) $(SCALE)
+
 lint: build
 	tools/check_lint $(BUILD)
--- a/src/include/egretrack/settings/settings.h
+++ b/src/include/egretrack/settings/settings.h
@@ -110,8 +110,10 @@
   std::string failure_domain;
   std::string jobs;       // Listens here for callers.
   std::string readiness;  // Listens here for the balancer's looks.
-  std::string agents;     // Listens here for agents; written to the store.
-  std::string internal;   // Listens here for metrics and other entries.
+  std::string agents;     // Listens here for agents.
+  // Written to the store as the address for agents. Empty: `agents`.
+  std::string advertised;
+  std::string internal;  // Listens here for metrics and other entries.
   std::string store;
   // Addresses of some processes, of which only the hosts are used.
   std::vector<std::string> seeds;
--- a/src/job_entry/job_entry_process.cc
+++ b/src/job_entry/job_entry_process.cc
@@ -156,7 +156,9 @@
         std::move(core),
         control_parts{
             .entry = settings_.id,
-            .self = {settings_.id, agents_->local_address().ToString()},
+            .self = {settings_.id, settings_.advertised.empty()
+                                       ? agents_->local_address().ToString()
+                                       : settings_.advertised},
             .internal_port = addresses_.internal.port,
             .events = events_,
             .store = *store_,
--- /dev/null
+++ b/src/standins/run_history.cc
@@ -0,0 +1,69 @@
+#include "standins/run_history.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace egretrack::standins {
+
+std::string run_history::JobOf(std::string_view task) {
+  return std::string(task.substr(0, task.find('.')));
+}
+
+void run_history::Begin(std::string_view task, int worker, monotonic_time now) {
+  const std::lock_guard lock(mutex_);
+  task_runs& runs = jobs_[JobOf(task)][std::string(task)];
+  ++runs.begun;
+  ++runs_;
+  runs.running.push_back(worker);
+  if (runs.running.size() > 1) {
+    violations_.push_back(
+        "task " + std::string(task) + " begins on worker " +
+        std::to_string(worker) + " while it runs on worker " +
+        std::to_string(runs.running.front()) + " at " +
+        std::to_string(now.time_since_epoch().count() / 1000) + " ms");
+  }
+}
+
+void run_history::End(std::string_view task,
+                      int worker,
+                      bool done,
+                      monotonic_time /*now*/) {
+  const std::lock_guard lock(mutex_);
+  task_runs& runs = jobs_[JobOf(task)][std::string(task)];
+  const auto found = std::ranges::find(runs.running, worker);
+  if (found != runs.running.end())
+    runs.running.erase(found);
+  runs.done = runs.done || done;
+}
+
+std::size_t run_history::CountDone(std::string_view job_key) const {
+  const std::lock_guard lock(mutex_);
+  const auto job = jobs_.find(job_key);
+  if (job == jobs_.end())
+    return 0;
+  return static_cast<std::size_t>(std::ranges::count_if(
+      job->second, [](const auto& task) { return task.second.done; }));
+}
+
+std::size_t run_history::CountBegun(std::string_view job_key) const {
+  const std::lock_guard lock(mutex_);
+  const auto job = jobs_.find(job_key);
+  return job == jobs_.end() ? 0 : job->second.size();
+}
+
+std::size_t run_history::CountRuns() const {
+  const std::lock_guard lock(mutex_);
+  return runs_;
+}
+
+void run_history::Violate(std::string what) {
+  const std::lock_guard lock(mutex_);
+  violations_.push_back(std::move(what));
+}
+
+std::vector<std::string> run_history::violations() const {
+  const std::lock_guard lock(mutex_);
+  return violations_;
+}
+
+}  // namespace egretrack::standins
