--- a/src/include/egretrack/scheduler/members.h
+++ b/src/include/egretrack/scheduler/members.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <span>
+#include <string_view>
 #include <vector>
 
 #include "egretrack/wire/run_messages.h"
@@ -15,6 +16,10 @@
 // Equal lists have equal hashes, in every process. The list is normalized.
 std::uint64_t HashMembers(std::span<const wire::entry_member> members);
 
+// Weight of an agent for an entry in rendezvous hashing: the agents with the
+// highest weights are an entry's own choice, evenly spread over all entries.
+std::uint64_t RendezvousWeight(std::string_view entry, std::string_view agent);
+
 }  // namespace egretrack::scheduler
 
 #endif  // EGRETRACK_SCHEDULER_MEMBERS_H_
--- a/src/scheduler/entry_link.h
+++ b/src/scheduler/entry_link.h
@@ -46,6 +46,7 @@
 
   monotonic_time next_beat{};
   std::uint64_t dispatches_seen = 0;
+  monotonic_time last_dispatch = monotonic_time::min();
   bool closed = false;  // Not among the entries any more.
   std::vector<wire::agent_run_message> outgoing;
   monotonic_time last_sent{};  // Any frame.
--- a/src/scheduler/job_scheduler.cc
+++ b/src/scheduler/job_scheduler.cc
@@ -114,6 +114,7 @@
     return;
   members_ = std::move(event.members);
   members_hash_ = hash;
+  ChoosePreferred();
   Record(decision_kind::kMembersChanged, "",
          {{"entries", static_cast<std::int64_t>(members_.size())}});
 }
--- a/src/scheduler/job_scheduler_agents.cc
+++ b/src/scheduler/job_scheduler_agents.cc
@@ -1,7 +1,9 @@
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 #include "egretrack/base/event_table.h"
+#include "egretrack/scheduler/members.h"
 #include "scheduler/job_scheduler_impl.h"
 
 namespace egretrack::scheduler {
@@ -14,6 +16,10 @@
 constexpr milliseconds kQueueBoundPause{100};
 // A task must start while this share of its predicted run time is left.
 constexpr double kStartByShare = 0.5;
+// How many entries work with an agent first; with as few entries as this all
+// of them work with all agents.
+constexpr std::size_t kEntriesPerAgent = 4;
+constexpr std::size_t kFewestPreferred = 12;
 // At most this share of the agents is ejected, so that a fault common to all
 // does not leave none.
 constexpr double kMaxEjectedShare = 0.5;
@@ -72,10 +78,24 @@
                          std::make_unique<worker_view>(event.frame.agent))
                 .first;
     view_list_.push_back(found->second.get());
+    ChoosePreferred();
   }
   return *found->second;
 }
 
+void job_scheduler_impl::ChoosePreferred() {
+  std::vector<worker_view*> ranked = view_list_;
+  std::ranges::sort(ranked, std::greater<>(), [this](const worker_view* view) {
+    return RendezvousWeight(options_.entry, view->agent());
+  });
+  const std::size_t entries = std::max<std::size_t>(members_.size(), 1);
+  const std::size_t share =
+      (kEntriesPerAgent * ranked.size() + entries - 1) / entries;
+  const std::size_t count = std::max(share, kFewestPreferred);
+  for (std::size_t rank = 0; rank < ranked.size(); ++rank)
+    ranked[rank]->preferred = rank < count;
+}
+
 void job_scheduler_impl::OnBeat(wire::agent_beat& message, worker_view& view) {
   wire::beat_reply reply;
   reply.sequence = message.sequence;
@@ -343,6 +363,7 @@
     candidate.worker = index;
     candidate.run = Predict(view, job, step);
     candidate.wait = view.PredictWait(step.spec.need, candidate.run);
+    candidate.preferred = view.preferred;
     candidate.same_domain = view.failure_domain == options_.failure_domain;
     candidate.free_cpu_milli = view.Free().cpu_milli;
     candidates.push_back(candidate);
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -96,6 +96,8 @@
   void OnReport(wire::run_report& message, worker_view& view);
   worker_view& ViewOf(agent_frame& event);
   void CheckViews();
+  // Chooses the agents that this entry works with first.
+  void ChoosePreferred();
   void LoseRuns(worker_view& view, bool all);
   void OnLost(scheduled_job& job, std::uint32_t task, wire::run_reason reason);
   void OnDone(scheduled_job& job,
--- a/src/scheduler/members.cc
+++ b/src/scheduler/members.cc
@@ -37,4 +37,12 @@
   return hash;
 }
 
+// The last step spreads names that differ in their last characters only.
+std::uint64_t RendezvousWeight(std::string_view entry, std::string_view agent) {
+  std::uint64_t weight = Mix(Mix(kOffsetBasis, entry), agent);
+  weight ^= weight >> 32U;
+  weight *= kPrime;
+  return weight ^ (weight >> 29U);
+}
+
 }  // namespace egretrack::scheduler
--- a/src/scheduler/placement.cc
+++ b/src/scheduler/placement.cc
@@ -14,9 +14,15 @@
 // free room before their effect is seen.
 constexpr int kWaitWeight = 4;
 
+// What is known of other agents is older, and the more entries send to an
+// agent, the less each of them knows of its load.
+constexpr microseconds kOthersPenalty{30000};
+
 auto Rank(const placement_candidate& candidate) {
+  const microseconds penalty =
+      candidate.preferred ? microseconds(0) : kOthersPenalty;
   return std::tuple(
-      (kWaitWeight * candidate.wait + candidate.run) / kFinishStep,
+      (kWaitWeight * candidate.wait + candidate.run + penalty) / kFinishStep,
       !candidate.same_domain, -candidate.free_cpu_milli);
 }
 
--- a/src/scheduler/placement.h
+++ b/src/scheduler/placement.h
@@ -15,6 +15,7 @@
   std::size_t worker = 0;
   microseconds wait{0};  // Until it has room.
   microseconds run{0};
+  bool preferred = true;  // Among the agents that the entry works with first.
   bool same_domain = false;
   std::int64_t free_cpu_milli = 0;
 };
--- a/src/scheduler/run_supervisor_impl.h
+++ b/src/scheduler/run_supervisor_impl.h
@@ -76,6 +76,7 @@
   void SendFrames();
   void SendFrame(entry_index entry);
   bool HasLoadNews(const entry_link& link) const;
+  bool IsActive(const entry_link& link) const;
   microseconds LoadInterval() const;
   wire::worker_load Load(const entry_link& link) const;
   bool IsSettled(entry_index entry) const;
--- a/src/scheduler/run_supervisor_links.cc
+++ b/src/scheduler/run_supervisor_links.cc
@@ -13,9 +13,11 @@
 // entry that starts, short enough for its first callers.
 constexpr milliseconds kIdleSilence{900};
 
+// An entry that sent a task so long ago is told of the load by beats alone.
+constexpr seconds kActiveTime{1};
 // Load that has changed by a task of common size is worth a frame of its own,
-// at this interval times the square of the number of entries: 32 ms with four,
-// beyond the interval of beats with twelve.
+// at this interval times the square of the number of active entries: 32 ms with
+// four, beyond the interval of beats with twelve.
 constexpr std::int64_t kLoadStepMilli = 1500;
 constexpr milliseconds kLoadInterval{2};
 constexpr milliseconds kShortestLoadInterval{20};
@@ -71,6 +73,7 @@
   ++counters_.dispatches;
   entry_link& link = links_[entry];
   ++link.dispatches_seen;
+  link.last_dispatch = now_;
   agent_run run;
   run.entry = entry;
   run.connection = link.connection();
@@ -247,16 +250,23 @@
     link.next_beat = now_;
 }
 
+bool run_supervisor_impl::IsActive(const entry_link& link) const {
+  return link.last_dispatch != monotonic_time::min() &&
+         now_ - link.last_dispatch < kActiveTime;
+}
+
 // All agents together tell an entry of their load at a rate that grows with
 // their number, while the entries' own share of it falls with theirs.
 microseconds run_supervisor_impl::LoadInterval() const {
-  const auto links = static_cast<std::int64_t>(links_.size());
-  return std::max<microseconds>(kLoadInterval * links * links,
-                                kShortestLoadInterval);
+  const auto links = std::ranges::count_if(
+      links_, [this](const entry_link& link) { return IsActive(link); });
+  return std::max<microseconds>(
+      kLoadInterval * static_cast<std::int64_t>(links * links),
+      kShortestLoadInterval);
 }
 
 bool run_supervisor_impl::HasLoadNews(const entry_link& link) const {
-  if (!worker_ || !link.heard())
+  if (!worker_ || !link.heard() || !IsActive(link))
     return false;
   const room free = runs_.Free(worker_->facts.capacity);
   return std::abs(free.cpu_milli - link.last_free.cpu_milli) >= kLoadStepMilli;
--- a/src/scheduler/worker_view.h
+++ b/src/scheduler/worker_view.h
@@ -52,6 +52,7 @@
   monotonic_time heard{};
   monotonic_time last_sent{};  // The last frame to the agent, on any session.
   bool silent = false;
+  bool preferred = true;  // Among those that this entry works with first.
   // Outstanding runs of earlier sessions have ended by then; none are
   // outstanding when it is not set.
   std::optional<monotonic_time> old_runs_end;
