--- a/src/soak/faults.cc
+++ b/src/soak/faults.cc
@@ -215,7 +215,7 @@
 }
 
 void faults::LateOrders(monotonic_time now) {
-  Disturb(PickWorker(), {.late_orders = 0.1}, now);
+  Disturb(PickWorker(), {.late_orders = 0.3}, now);
 }
 
 void faults::LoseAnswers(monotonic_time now) {
--- a/src/standins/lease_worker.cc
+++ b/src/standins/lease_worker.cc
@@ -28,7 +28,7 @@
 constexpr milliseconds kReportTimeout{500};
 constexpr milliseconds kMaxLease{1000};
 constexpr milliseconds kStopTime{30};
-constexpr milliseconds kFirstLate{500};
+constexpr milliseconds kFirstLate{50};
 constexpr milliseconds kLastLate{3000};
 constexpr room kCapacity{16000, 32768, 0};
 constexpr unsigned kOk = 200;
--- a/src/standins/lease_worker.h
+++ b/src/standins/lease_worker.h
@@ -13,7 +13,7 @@
 
 // What a worker does wrong.
 struct worker_faults {
-  double late_orders = 0;   // Share carried out 0.5 s to 3 s later, unanswered.
+  double late_orders = 0;   // Share carried out up to 3 s later, unanswered.
   double lost_answers = 0;  // Share carried out and not answered.
   double failing_runs = 0;  // Share that fails.
   double slowness = 1;      // Factor of the run time.
