--- a/src/include/egretrack/base/time.h
+++ b/src/include/egretrack/base/time.h
@@ -23,6 +23,12 @@
 
 using monotonic_time = monotonic_clock::time_point;
 
+// A time multiplied by a factor, cut to whole microseconds.
+inline microseconds Scale(microseconds time, double factor) {
+  return microseconds(static_cast<microseconds::rep>(
+      static_cast<double>(time.count()) * factor));
+}
+
 // Wall time in microseconds since the Unix epoch; only for shifts, logs and
 // expiry of rows in the table service.
 using wall_time =
--- a/src/job_agent/worker_caller.cc
+++ b/src/job_agent/worker_caller.cc
@@ -56,10 +56,11 @@
     answered_(decode(reply));
     return;
   }
-  client_->Call(*address, std::move(request), timeout,
-                [this, decode = std::move(decode)](net::http_reply reply) {
-                  answered_(decode(reply));
-                });
+  client_->Call(
+      *address, std::move(request), timeout,
+      [this, decode = std::move(decode)](const net::http_reply& reply) {
+        answered_(decode(reply));
+      });
 }
 
 }  // namespace egretrack::job_agent
--- a/src/job_entry/job_entry_control.cc
+++ b/src/job_entry/job_entry_control.cc
@@ -250,8 +250,7 @@
   for (const auto& [key, member] : members_)
     hosts.push_back(HostOf(member.address));
   std::ranges::sort(hosts);
-  const auto same = std::ranges::unique(hosts);
-  hosts.erase(same.begin(), same.end());
+  hosts.erase(std::unique(hosts.begin(), hosts.end()), hosts.end());
   std::erase(hosts, HostOf(parts_.self.address));
   std::erase(hosts, std::string());
   return hosts;
--- a/src/scheduler/entry_link.cc
+++ b/src/scheduler/entry_link.cc
@@ -1,7 +1,6 @@
 #include "scheduler/entry_link.h"
 
 #include <algorithm>
-#include <cmath>
 #include <cstddef>
 
 namespace egretrack::scheduler {
@@ -65,9 +64,7 @@
   if (!clock_)
     return connected_at_;
   const auto since = latest_entry_time_ - clock_->entry_time;
-  const auto shortest = static_cast<microseconds::rep>(
-      static_cast<double>(since.count()) * (1 - kDrift));
-  return std::max(connected_at_, clock_->sent + microseconds(shortest));
+  return std::max(connected_at_, clock_->sent + Scale(since, 1 - kDrift));
 }
 
 // entry(t) <= S + (t - sent) * (1 + drift) for every t after `sent`. Solved
@@ -76,9 +73,7 @@
   if (!clock_ || limit <= clock_->entry_time)
     return monotonic_time::min();
   const auto remaining = limit - clock_->entry_time;
-  const double elapsed =
-      std::floor(static_cast<double>(remaining.count()) / (1 + kDrift));
-  return clock_->sent + microseconds(static_cast<microseconds::rep>(elapsed));
+  return clock_->sent + Scale(remaining, 1 / (1 + kDrift));
 }
 
 }  // namespace egretrack::scheduler
--- /dev/null
+++ b/src/scheduler/job_scheduler_dispatch.cc
@@ -0,0 +1,194 @@
+#include <algorithm>
+#include <utility>
+
+#include "scheduler/job_scheduler_impl.h"
+
+namespace egretrack::scheduler {
+namespace {
+
+// An agent gives a task back that waits for longer than predicted by this
+// factor and pause, so that it may be placed anew. The pause keeps tasks from
+// wandering between agents that are all full.
+constexpr int kQueueBoundFactor = 2;
+constexpr milliseconds kQueueBoundPause{100};
+// A task must start while this share of its predicted run time is left.
+constexpr double kStartByShare = 0.5;
+
+}  // namespace
+
+// ---- Dispatch -------------------------------------------------------------
+
+bool job_scheduler_impl::IsUsable(const worker_view& view) const {
+  return view.worker && !view.draining && !view.silent;
+}
+
+bool job_scheduler_impl::MayRun(const worker_view& view,
+                                const scheduled_job& job,
+                                std::uint32_t task) const {
+  const scheduled_task& state = job.tasks[task];
+  const job_step& step = job.steps[state.step].spec;
+  if (!IsUsable(view) || view.worker->desk != job.kind->desk ||
+      !view.worker->capacity.Fits(step.need)) {
+    return false;
+  }
+  if (view.health.ejected() && !view.health.IsTrialDue(now_))
+    return false;
+  if (!step.required_label.empty() && !view.HasLabel(step.required_label))
+    return false;
+  if (step.max_per_worker == 0)
+    return true;
+  const auto here =
+      std::ranges::count_if(job.tasks, [&](const scheduled_task& other) {
+        return other.phase == task_phase::kOutstanding &&
+               other.step == state.step && other.agent == &view;
+      });
+  return static_cast<std::uint32_t>(here) < step.max_per_worker;
+}
+
+microseconds job_scheduler_impl::Predict(const worker_view& view,
+                                         const scheduled_job& job,
+                                         const scheduled_step& step) const {
+  const microseconds run = run_times_.Predict(
+      job.kind->name, view.machine_class(), view.agent(), step.estimate);
+  const std::string& near = step.spec.near_label;
+  const bool far = !near.empty() && !view.HasLabel(near);
+  return far ? Scale(run, options_.worker_factor_near) : run;
+}
+
+std::vector<placement_candidate> job_scheduler_impl::Candidates(
+    const scheduled_job& job,
+    std::uint32_t task) const {
+  const scheduled_task& state = job.tasks[task];
+  const scheduled_step& step = job.steps[state.step];
+  std::vector<placement_candidate> candidates;
+  for (std::size_t index = 0; index < view_list_.size(); ++index) {
+    const worker_view& view = *view_list_[index];
+    if (!MayRun(view, job, task))
+      continue;
+    placement_candidate candidate;
+    candidate.worker = index;
+    candidate.run = Predict(view, job, step);
+    candidate.wait = view.PredictWait(step.spec.need, candidate.run);
+    candidate.preferred = view.preferred;
+    candidate.same_domain = view.failure_domain == options_.failure_domain;
+    candidate.free_cpu_milli = view.Free().cpu_milli;
+    candidates.push_back(candidate);
+  }
+  // The agent that gave the task back is the last choice.
+  if (candidates.size() > 1 && state.avoid != nullptr) {
+    std::erase_if(candidates, [&](const placement_candidate& candidate) {
+      return view_list_[candidate.worker] == state.avoid;
+    });
+  }
+  return candidates;
+}
+
+void job_scheduler_impl::DispatchWaiting(scheduled_job& job) {
+  const std::uint64_t number = job.number;
+  for (std::uint32_t task = 0; task < job.tasks.size() && job.waiting > 0;
+       ++task) {
+    if (job.tasks[task].phase == task_phase::kWaiting && !Dispatch(job, task))
+      break;
+  }
+  if (job.waiting == 0)
+    waiting_jobs_.erase(number);
+}
+
+bool job_scheduler_impl::Dispatch(scheduled_job& job, std::uint32_t task) {
+  const auto candidates = Candidates(job, task);
+  const auto chosen = ChoosePlacement(candidates);
+  if (!chosen)
+    return false;
+  scheduled_task& state = job.tasks[task];
+  const scheduled_step& step = job.steps[state.step];
+  worker_view& view = *view_list_[chosen->worker];
+  state.phase = task_phase::kOutstanding;
+  state.agent = &view;
+  state.session = view.session;
+  state.dispatched = now_;
+  state.predicted = chosen->run;
+  ++state.attempt;
+  if (view.health.ejected()) {
+    state.trial = true;
+    view.health.NoteTrial();
+  }
+  --job.waiting;
+  ++job.outstanding;
+  ++outstanding_;
+  ++view.outstanding;
+  ++counters_.dispatches;
+  if (!job.first_dispatch)
+    job.first_dispatch = now_;
+  Record(decision_kind::kTaskDispatched, job.job_key,
+         {{"task", std::int64_t{task}},
+          {"attempt", std::int64_t{state.attempt}},
+          {"agent", view.agent()},
+          {"wait_us", chosen->wait.count()},
+          {"run_us", chosen->run.count()},
+          {"free_cpu_milli", chosen->free_cpu_milli},
+          {"view_age_us", (now_ - view.heard).count()},
+          {"candidates", static_cast<std::int64_t>(candidates.size())}});
+
+  wire::run_dispatch dispatch;
+  dispatch.job = job.number;
+  dispatch.task = task;
+  dispatch.attempt = state.attempt;
+  dispatch.job_key = job.job_key;
+  dispatch.step = state.step;
+  dispatch.index = state.index;
+  dispatch.need = step.spec.need;
+  dispatch.spec = job.spec;
+  dispatch.predicted = chosen->run;
+  dispatch.start_by = job.deadline - Scale(chosen->run, kStartByShare);
+  dispatch.target = job.target - now_;
+  dispatch.queue_bound = kQueueBoundFactor * chosen->wait + kQueueBoundPause;
+  view.NoteDispatch(step.spec.need);
+  view.outgoing.emplace_back(std::move(dispatch));
+  return true;
+}
+
+void job_scheduler_impl::CancelOutstanding(scheduled_job& job) {
+  for (std::uint32_t index = 0; index < job.tasks.size(); ++index) {
+    scheduled_task& task = job.tasks[index];
+    if (task.phase != task_phase::kOutstanding)
+      continue;
+    worker_view& view = *task.agent;
+    const microseconds age = now_ - task.dispatched;
+    if (age > task.predicted) {
+      run_times_.ObserveAtLeast(job.kind->name, view.machine_class(),
+                                view.agent(), job.steps[task.step].estimate,
+                                age);
+    }
+    if (task.trial)
+      view.health.EndTrial();
+    EndOutstanding(job, index);
+    task.phase = task_phase::kWaiting;
+    // An agent that is silent, or has a new session, stops the run by itself;
+    // a message would only prove to it that this entry still lives.
+    if (view.silent || task.session != view.session)
+      continue;
+    auto* last = view.outgoing.empty()
+                     ? nullptr
+                     : std::get_if<wire::run_cancel>(&view.outgoing.back());
+    if (last == nullptr || last->job != job.number)
+      view.outgoing.emplace_back(wire::run_cancel{job.number, {}});
+  }
+}
+
+void job_scheduler_impl::SendFrames() {
+  for (worker_view* view : view_list_) {
+    if (view->outgoing.empty())
+      continue;
+    send_to_agent send;
+    send.link = view->link;
+    send.frame.connection = view->session.connection;
+    send.frame.entry = options_.entry;
+    send.frame.entry_incarnation = options_.entry_incarnation;
+    send.frame.entry_time = now_;
+    send.frame.messages = std::exchange(view->outgoing, {});
+    view->last_sent = now_;
+    Emit(std::move(send));
+  }
+}
+
+}  // namespace egretrack::scheduler
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -91,7 +91,7 @@
   void CheckDeadlines();
   void CheckUnoffered();
 
-  // ---- job_scheduler_agents.cc: agents and dispatch ------------------------
+  // ---- job_scheduler_agents.cc: sessions and reports -----------------------
   void OnBeat(wire::agent_beat& message, worker_view& view);
   void OnReport(wire::run_report& message, worker_view& view);
   worker_view& ViewOf(agent_frame& event);
@@ -111,6 +111,8 @@
                   const wire::run_report& report);
   void JudgeFailure(worker_view& view, scheduled_task& task);
   void EndOutstanding(scheduled_job& job, std::uint32_t task);
+
+  // ---- job_scheduler_dispatch.cc: from waiting tasks to agents -------------
   bool IsUsable(const worker_view& view) const;
   bool MayRun(const worker_view& view,
               const scheduled_job& job,
--- a/src/scheduler/job_scheduler_jobs.cc
+++ b/src/scheduler/job_scheduler_jobs.cc
@@ -26,11 +26,6 @@
   return key;
 }
 
-microseconds Scale(microseconds time, double factor) {
-  return microseconds(static_cast<microseconds::rep>(
-      static_cast<double>(time.count()) * factor));
-}
-
 // The longest chain of estimates through the steps.
 microseconds LongestChain(std::span<const scheduled_step> steps) {
   std::vector<microseconds> ends;
--- a/src/scheduler/members.cc
+++ b/src/scheduler/members.cc
@@ -26,8 +26,7 @@
   std::ranges::sort(members, {}, [](const wire::entry_member& member) {
     return std::tie(member.id, member.address);
   });
-  const auto same = std::ranges::unique(members);
-  members.erase(same.begin(), same.end());
+  members.erase(std::unique(members.begin(), members.end()), members.end());
 }
 
 std::uint64_t HashMembers(std::span<const wire::entry_member> members) {
--- a/src/scheduler/run_supervisor_impl.h
+++ b/src/scheduler/run_supervisor_impl.h
@@ -16,6 +16,16 @@
 
 namespace egretrack::scheduler {
 
+// One life of the worker.
+struct worker_life {
+  worker_report facts;
+  monotonic_time heard{};
+  bool draining = false;
+  std::uint64_t seen = 0;   // Ends up to this number are known.
+  std::uint64_t acked = 0;  // ... and the worker was told so.
+  bool reconciled = false;  // A look has shown what it ran before.
+};
+
 // Wires the parts of the agent's core together. The members are grouped by the
 // source file that defines them.
 class run_supervisor_impl final : public run_supervisor {
@@ -31,16 +41,6 @@
   supervisor_gauges gauges() const override;
 
  private:
-  // One life of the worker.
-  struct worker {
-    worker_report facts;
-    monotonic_time heard{};
-    bool draining = false;
-    std::uint64_t seen = 0;   // Ends up to this number are known.
-    std::uint64_t acked = 0;  // ... and the worker was told so.
-    bool reconciled = false;  // A look has shown what it ran before.
-  };
-
   // ---- run_supervisor.cc: events, drain, timers ----------------------------
   void OnFrame(entry_frame& event);
   void OnWorkerReport(worker_report& event);
@@ -82,7 +82,7 @@
   bool IsSettled(entry_index entry) const;
   void Report(const agent_run& run, wire::run_end end, wire::run_reason reason);
 
-  // ---- run_supervisor_worker.cc: orders and looks --------------------------
+  // ---- run_supervisor_worker.cc: orders and the worker's life --------------
   void StartRuns();
   void OrderStart(agent_run& run);
   void OrderStops();
@@ -91,17 +91,20 @@
   void RefuseQueued(wire::run_reason reason);
   void End(std::uint64_t number, wire::run_end end, wire::run_reason reason);
   void Confirm(agent_run& run);
+  void LoseAllRuns(wire::run_reason reason);
+  void ForgetWorker(decision_kind why);
+  void RaiseFence();
+  void CheckWorker();
+  order_target Target() const;
+
+  // ---- run_supervisor_looks.cc: what the worker runs -----------------------
   void Look();
+  void LookSoon();
   bool WantsLook() const;
   bool MayExtendLease() const;
   void TakeEnds(const std::vector<ended_row>& ended);
   void TakeRunning(const std::vector<running_row>& running);
   void CheckProgress(agent_run& run, const running_row& row);
-  void LoseAllRuns(wire::run_reason reason);
-  void ForgetWorker(decision_kind why);
-  void RaiseFence();
-  void CheckWorker();
-  order_target Target() const;
 
   const supervisor_options options_;
   supervisor_counters counters_;
@@ -109,7 +112,7 @@
   std::vector<wire::entry_member> members_;
   std::uint64_t members_hash_ = 0;
   run_table runs_;
-  std::optional<worker> worker_;
+  std::optional<worker_life> worker_;
   worker_lease lease_;
   std::uint64_t fence_;
   std::uint64_t fence_step_;
--- a/src/scheduler/run_supervisor_worker.cc
+++ b/src/scheduler/run_supervisor_worker.cc
@@ -14,23 +14,8 @@
 constexpr std::uint32_t kMaxRenumbered = 3;
 // Beyond the attempts that another entry may have made of the same task.
 constexpr std::uint32_t kRenumberStep = 16;
-// Unanswered looks in a row after which the lease is left to lapse: whether
-// the worker still obeys is not known any more.
-constexpr std::uint32_t kMaxUnansweredLooks = 4;
-// A stop that gets no answer for so long has the same effect.
-constexpr milliseconds kStopBound{300};
 // Between two orders to stop a run.
 constexpr milliseconds kStopRetry{50};
-// The worker ends a stopped run within 50 ms and then lists its end.
-constexpr milliseconds kStopTime{60};
-// Between looks while a stop waits for its end.
-constexpr milliseconds kStopLookInterval{30};
-// Pause after a look that failed.
-constexpr milliseconds kLookRetry{20};
-// A run without progress for so long, and for this share of its age, stands
-// still. The worker tells progress in whole percent.
-constexpr milliseconds kStallBound{400};
-constexpr double kStallShare = 0.04;
 
 }  // namespace
 
@@ -40,17 +25,6 @@
 
 // ---- Starts ---------------------------------------------------------------
 
-bool run_supervisor_impl::MayExtendLease() const {
-  if (looks_unanswered_ >= kMaxUnansweredLooks)
-    return false;
-  return std::none_of(
-      runs_.all().begin(), runs_.all().end(), [this](const auto& held) {
-        const agent_run& run = held.second;
-        return run.life.phase() == run_phase::kStopping && !run.stop_accepted &&
-               now_ - run.stop_ordered > kStopBound;
-      });
-}
-
 void run_supervisor_impl::StartRuns() {
   if (!worker_ || worker_->draining || !worker_->reconciled ||
       !lease_.clock_known() || !MayExtendLease()) {
@@ -222,7 +196,7 @@
   }
   run.stop_accepted = true;
   run.stop_accepted_at = now_;
-  next_look_ = std::min(next_look_, now_ + kStopLookInterval);
+  LookSoon();
 }
 
 // ---- Ends -----------------------------------------------------------------
@@ -256,155 +230,6 @@
     End(number, wire::run_end::kLost, reason);
 }
 
-void run_supervisor_impl::TakeEnds(const std::vector<ended_row>& ended) {
-  for (const ended_row& row : ended) {
-    worker_->seen = std::max(worker_->seen, row.number);
-    foreign_.erase(row.name);
-    auto* found = runs_.FindNamed(row.name);
-    if (found == nullptr)
-      continue;
-    const agent_run& run = found->second;
-    const bool lost = row.end == wire::run_end::kLost;
-    const wire::run_reason reason =
-        lost && run.reason == wire::run_reason::kNone
-            ? wire::run_reason::kLeaseLapsed
-            : run.reason;
-    // A run that never was confirmed may still have ended by itself.
-    End(found->first, row.end, lost ? reason : wire::run_reason::kNone);
-  }
-}
-
-// `running` is what the worker ran when it answered the look sent at
-// look_sent_.
-void run_supervisor_impl::TakeRunning(const std::vector<running_row>& running) {
-  std::set<run_name> foreign;
-  std::set<std::uint64_t> listed;
-  for (const running_row& row : running) {
-    auto* found = runs_.FindNamed(row.name);
-    if (found == nullptr) {
-      foreign.insert(row.name);
-      continue;
-    }
-    listed.insert(found->first);
-    Confirm(found->second);
-    if (found->second.life.phase() == run_phase::kRunning)
-      CheckProgress(found->second, row);
-  }
-  for (const run_name& name : foreign)
-    commands_->emplace_back(stop_run{Target(), name});
-  foreign_ = std::move(foreign);
-
-  std::vector<std::uint64_t> gone;
-  for (const auto& [number, run] : runs_.all()) {
-    if (listed.contains(number))
-      continue;
-    const bool ended_unseen =
-        run.life.phase() == run_phase::kRunning && run.confirmed < look_sent_;
-    const bool stopped = run.life.phase() == run_phase::kStopping &&
-                         run.stop_accepted &&
-                         run.stop_accepted_at + kStopTime < look_sent_;
-    if (ended_unseen || stopped)
-      gone.push_back(number);
-  }
-  for (const std::uint64_t number : gone) {
-    const agent_run& run = *runs_.Find(number);
-    if (run.reason == wire::run_reason::kUnanswered)
-      Refuse(number, run.reason);
-    else
-      End(number, wire::run_end::kLost, run.reason);
-  }
-}
-
-void run_supervisor_impl::CheckProgress(agent_run& run,
-                                        const running_row& row) {
-  if (row.percent > run.percent) {
-    run.percent = row.percent;
-    run.progressed = now_;
-    return;
-  }
-  const auto age = static_cast<double>((now_ - run.started).count());
-  const microseconds bound = std::max<microseconds>(
-      kStallBound,
-      microseconds(static_cast<microseconds::rep>(age * kStallShare)));
-  if (now_ - run.progressed <= bound)
-    return;
-  ++counters_.stalls;
-  Record(decision_kind::kRunStalled, run.name.job_key,
-         {{"task", std::int64_t{run.task}},
-          {"percent", std::int64_t{run.percent}},
-          {"standstill_us", (now_ - run.progressed).count()}});
-  Stop(run, wire::run_reason::kStalled);
-}
-
-// ---- Looks ----------------------------------------------------------------
-
-bool run_supervisor_impl::WantsLook() const {
-  if (!worker_)
-    return false;
-  return !worker_->reconciled || runs_.CountAtWorker() > 0 ||
-         !foreign_.empty() || worker_->seen > worker_->acked;
-}
-
-void run_supervisor_impl::Look() {
-  if (look_in_flight_ || !WantsLook() || now_ < next_look_)
-    return;
-  look_at_worker look;
-  look.target = Target();
-  look.seen = worker_->seen;
-  const bool running = runs_.CountAtWorker() > 0;
-  const bool stopping =
-      !foreign_.empty() ||
-      std::any_of(runs_.all().begin(), runs_.all().end(), [](const auto& held) {
-        return held.second.life.phase() == run_phase::kStopping;
-      });
-  if (running && worker_->reconciled && MayExtendLease() &&
-      lease_.clock_known()) {
-    look.lease_until = lease_.Renew(now_);
-    look.wait = stopping ? kStopLookInterval : options_.renew_interval;
-  }
-  look_in_flight_ = true;
-  look_sent_ = now_;
-  look_seen_ = look.seen;
-  commands_->emplace_back(std::move(look));
-}
-
-void run_supervisor_impl::OnLookAnswered(look_answered& event) {
-  look_in_flight_ = false;
-  next_look_ = now_;
-  if (!worker_)
-    return;
-  switch (event.result) {
-    case order_result::kAccepted:
-      break;
-    case order_result::kFenced:
-      return RaiseFence();
-    case order_result::kUnreachable:
-      return ForgetWorker(decision_kind::kWorkerGone);
-    default:
-      next_look_ = now_ + kLookRetry;
-      if (++looks_unanswered_ == kMaxUnansweredLooks) {
-        Record(decision_kind::kWorkerSilent, "",
-               {{"worker", worker_->facts.id},
-                {"lease_left_us", (lease_.expires_at() - now_).count()}});
-      }
-      return;
-  }
-  if (event.born != worker_->facts.born) {
-    ForgetWorker(decision_kind::kWorkerRestarted);
-    return;
-  }
-  looks_unanswered_ = 0;
-  worker_->heard = now_;
-  worker_->acked = std::max(worker_->acked, look_seen_);
-  lease_.ObserveClock(event.worker_clock, now_);
-  TakeEnds(event.ended);
-  TakeRunning(event.running);
-  if (!worker_->reconciled && foreign_.empty()) {
-    worker_->reconciled = true;
-    BeatSoon();
-  }
-}
-
 // ---- The worker's life ----------------------------------------------------
 
 void run_supervisor_impl::RaiseFence() {
--- a/src/scheduler/run_table.cc
+++ b/src/scheduler/run_table.cc
@@ -23,8 +23,7 @@
   const microseconds age = now - run.started;
   if (age < run.predicted)
     return run.predicted - age;
-  return microseconds(static_cast<microseconds::rep>(
-      static_cast<double>(age.count()) * kOverrunShare));
+  return Scale(age, kOverrunShare);
 }
 
 // Runs that can still be on time go first, the one with the earliest target
--- a/src/scheduler/run_time_model.cc
+++ b/src/scheduler/run_time_model.cc
@@ -50,8 +50,7 @@
                                      std::string_view worker,
                                      microseconds estimate) const {
   const double factor = std::exp(Sum(kind, machine_class, worker));
-  return microseconds(static_cast<microseconds::rep>(
-      static_cast<double>(estimate.count()) * factor));
+  return Scale(estimate, factor);
 }
 
 void run_time_model::Learn(std::string_view kind,
--- a/src/scheduler/worker_lease.cc
+++ b/src/scheduler/worker_lease.cc
@@ -22,16 +22,11 @@
 milliseconds worker_lease::Renew(monotonic_time now) {
   // The clock may run slow, so less than our elapsed time is added to the
   // reading. The end is then never later than `length_` on the worker's clock.
-  const double elapsed =
-      static_cast<double>((now - clock_->at).count()) * (1 - drift_);
-  const auto worker_now = clock_->worker_clock +
-                          std::chrono::duration_cast<milliseconds>(microseconds(
-                              static_cast<microseconds::rep>(elapsed)));
-  const double longest =
-      static_cast<double>(microseconds(length_).count()) / (1 - drift_);
-  expires_at_ = std::max(
-      expires_at_, now + microseconds(static_cast<microseconds::rep>(longest)) +
-                       kExpirySlack);
+  const auto worker_now =
+      clock_->worker_clock + std::chrono::duration_cast<milliseconds>(
+                                 Scale(now - clock_->at, 1 - drift_));
+  const microseconds longest = Scale(length_, 1 / (1 - drift_));
+  expires_at_ = std::max(expires_at_, now + longest + kExpirySlack);
   return worker_now + length_;
 }
 
--- a/src/settings/job_keys.cc
+++ b/src/settings/job_keys.cc
@@ -1,7 +1,6 @@
 #include <array>
 
-#include "settings/address.h"
-#include "settings/keys.h"
+#include "settings/key_rules.h"
 
 namespace egretrack::settings {
 namespace {
@@ -17,27 +16,6 @@
 constexpr number_range kMailbox{64, 1048576};
 constexpr number_range kPort{1, 65535};
 
-constexpr text_rule kListenAddress{key_errc::kInvalidAddress, &IsListenAddress,
-                                   "an IP address and port, as in 10.0.0.1:80"};
-constexpr text_rule kRemoteAddress{
-    key_errc::kInvalidAddress, &IsRemoteAddress,
-    "an IP address and a port of 1 or more, as in 10.0.0.1:80"};
-
-template <typename Settings>
-void ReadLog(const toml::node& node,
-             std::string_view key,
-             Settings& object,
-             fault_list& faults) {
-  const auto* table = keys::ExpectTable(node, key, faults);
-  if (table != nullptr)
-    keys::ReadTable(*table, LogKeys(), key, object.log, faults);
-}
-
-template <typename Settings>
-std::string PrintLog(const Settings& /*object*/) {
-  return "[log]";
-}
-
 void ReadPort(const toml::node& node,
               std::string_view key,
               job_agent_settings& object,
--- a/src/settings/keys.cc
+++ b/src/settings/keys.cc
@@ -4,6 +4,7 @@
 #include <array>
 
 #include "settings/address.h"
+#include "settings/key_rules.h"
 
 namespace egretrack::settings {
 namespace {
@@ -26,14 +27,9 @@
   return std::find(choices.begin(), choices.end(), text) != choices.end();
 }
 
-constexpr text_rule kListenAddress{key_errc::kInvalidAddress, &IsListenAddress,
-                                   "an IP address and port, as in 10.0.0.1:80"};
 constexpr text_rule kLoopbackAddress{
     key_errc::kInvalidAddress, &IsLoopbackListenAddress,
     "a loopback address and port, as in 127.0.0.1:80"};
-constexpr text_rule kRemoteAddress{
-    key_errc::kInvalidAddress, &IsRemoteAddress,
-    "an IP address and a port of 1 or more, as in 10.0.0.1:80"};
 constexpr text_rule kRouting{
     key_errc::kOutOfRange,
     [](std::string_view text) {
@@ -53,21 +49,6 @@
     },
     "trace, debug, info, warn, error or off"};
 
-template <typename Settings>
-void ReadLog(const toml::node& node,
-             std::string_view key,
-             Settings& object,
-             fault_list& faults) {
-  const auto* table = keys::ExpectTable(node, key, faults);
-  if (table != nullptr)
-    keys::ReadTable(*table, LogKeys(), key, object.log, faults);
-}
-
-template <typename Settings>
-std::string PrintLog(const Settings& /*object*/) {
-  return "[log]";
-}
-
 void ReadPeers(const toml::node& node,
                std::string_view key,
                entry_settings& object,
--- a/src/telemetry/metrics.cc
+++ b/src/telemetry/metrics.cc
@@ -127,15 +127,18 @@
                      std::string_view labels,
                      const histogram& values) {
   const std::string base(name);
-  const std::string prefix =
-      labels.empty() ? std::string() : std::string(labels) + ",";
+  const auto append = [&](std::string_view bound, std::uint64_t count) {
+    std::string all(labels);
+    if (!all.empty())
+      all += ",";
+    all.append("le=\"").append(bound).append("\"");
+    AppendSample(text, base + "_bucket", all, Format(count));
+  };
   for (std::size_t index = 0; index < histogram::kBounds.size(); ++index) {
-    const std::string bound = Format(ToSeconds(histogram::kBounds[index]));
-    AppendSample(text, base + "_bucket", prefix + "le=\"" + bound + "\"",
-                 Format(values.CountUpTo(index)));
+    append(Format(ToSeconds(histogram::kBounds[index])),
+           values.CountUpTo(index));
   }
-  AppendSample(text, base + "_bucket", prefix + "le=\"+Inf\"",
-               Format(values.count()));
+  append("+Inf", values.count());
   AppendSample(text, base + "_sum", labels, Format(ToSeconds(values.sum())));
   AppendSample(text, base + "_count", labels, Format(values.count()));
 }
