--- a/src/include/egretrack/scheduler/job_scheduler.h
+++ b/src/include/egretrack/scheduler/job_scheduler.h
@@ -175,7 +175,7 @@
   // After it what still runs is cut off and answered.
   milliseconds drain_end{5300};
   milliseconds answer_retention{10000};  // For a job that is sent again.
-  double worker_factor_near = 1.5;       // Slowdown away from the near label.
+  double far_factor = 1.5;  // Run time of a task away from its near label.
 };
 
 struct scheduler_counters {
@@ -219,9 +219,9 @@
                                  std::vector<scheduler_command>& commands) = 0;
 
   virtual const scheduler_counters& counters() const = 0;
-  virtual scheduler_gauges gauges(monotonic_time now) const = 0;
+  virtual scheduler_gauges gauges() const = 0;
   // True while new callers are welcome.
-  virtual bool ready(monotonic_time now) const = 0;
+  virtual bool ready() const = 0;
 };
 
 }  // namespace egretrack::scheduler
--- a/src/job_entry/job_entry_control.cc
+++ b/src/job_entry/job_entry_control.cc
@@ -88,7 +88,7 @@
     events::Call(*this, event, now);
   monotonic_time wake = core_->Advance(now, commands_);
   PerformCommands(now);
-  parts_.ready = core_->ready(now);
+  parts_.ready = core_->ready();
   OpenFront(now);
   NoteStore(now);
   wake = std::min({wake, configuration_table_.Advance(now),
@@ -150,10 +150,10 @@
 }
 
 void job_entry_control::OnInternal(internal_request& event,
-                                   monotonic_time& now) {
+                                   monotonic_time& /*now*/) {
   switch (event.asked) {
     case internal_question::kMetrics:
-      return event.exchange->Respond(Metrics(now));
+      return event.exchange->Respond(Metrics());
     case internal_question::kConfiguration:
       return event.exchange->Respond(Configuration(event.exchange->request()));
   }
@@ -215,7 +215,7 @@
                                        monotonic_time& now) {
   registering_ = false;
   if (event.version) {
-    registered_ = *event.version;
+    registered_ = true;
     LogEvent("entry_registered", false,
              {{"address", parts_.self.address},
               {"row_version", static_cast<std::int64_t>(*event.version)}},
@@ -385,7 +385,7 @@
   return {kOk, {{"Content-Type", "application/json"}}, config_document_};
 }
 
-net::http_response job_entry_control::Metrics(monotonic_time now) {
+net::http_response job_entry_control::Metrics() {
   const scheduler::scheduler_counters& counters = core_->counters();
   const auto count = [this](std::string_view name, std::uint64_t value) {
     metrics_->SetCounter(name, "", value);
@@ -408,7 +408,7 @@
   count("egretrack_log_lines_left_out_total", log_.left_out());
   for (const auto& [labels, value] : ended_jobs_)
     metrics_->SetCounter("egretrack_jobs_ended_total", labels, value);
-  const scheduler::scheduler_gauges gauges = core_->gauges(now);
+  const scheduler::scheduler_gauges gauges = core_->gauges();
   const auto gauge = [this](std::string_view name, double value) {
     metrics_->SetGauge(name, "", value);
   };
--- a/src/job_entry/job_entry_control.h
+++ b/src/job_entry/job_entry_control.h
@@ -75,7 +75,6 @@
 
 // What the control thread uses; all outlive it.
 struct control_parts {
-  std::string entry;
   wire::entry_member self;
   std::uint16_t internal_port = 0;  // The same on every entry.
   control_mailbox& events;
@@ -134,7 +133,7 @@
   void FinishDrain(scheduler::drain_finished& command, monotonic_time& now);
   void PerformCommands(monotonic_time now);
   net::http_exchange_ptr TakeExchange(scheduler::caller_token caller);
-  net::http_response Metrics(monotonic_time now);
+  net::http_response Metrics();
   net::http_response Configuration(const net::http_request& request) const;
   void LogEvent(std::string_view event,
                 bool explains_failure,
@@ -152,7 +151,7 @@
   std::map<std::string, wire::entry_member> members_;  // By key of their row.
   std::optional<std::uint64_t> config_version_;
   std::string config_document_;
-  std::optional<std::uint64_t> registered_;  // Version of our row.
+  bool registered_ = false;
   bool registering_ = false;
   monotonic_time next_registration_{};
   bool asking_peer_ = false;
--- a/src/job_entry/job_entry_process.cc
+++ b/src/job_entry/job_entry_process.cc
@@ -155,7 +155,6 @@
     control_ = std::make_unique<job_entry_control>(
         std::move(core),
         control_parts{
-            .entry = settings_.id,
             .self = {settings_.id, settings_.advertised.empty()
                                        ? agents_->local_address().ToString()
                                        : settings_.advertised},
--- a/src/scheduler/job_scheduler.cc
+++ b/src/scheduler/job_scheduler.cc
@@ -150,7 +150,7 @@
   }
 }
 
-bool job_scheduler_impl::ready(monotonic_time /*now*/) const {
+bool job_scheduler_impl::ready() const {
   return configuration_ != nullptr &&
          drain_.phase() == decision::drain_phase::kServing &&
          std::any_of(
@@ -160,7 +160,7 @@
 
 // ---- Reports --------------------------------------------------------------
 
-scheduler_gauges job_scheduler_impl::gauges(monotonic_time /*now*/) const {
+scheduler_gauges job_scheduler_impl::gauges() const {
   scheduler_gauges gauges;
   gauges.jobs = jobs_.size();
   gauges.tasks_outstanding = outstanding_;
--- a/src/scheduler/job_scheduler_dispatch.cc
+++ b/src/scheduler/job_scheduler_dispatch.cc
@@ -52,7 +52,7 @@
       job.kind->name, view.machine_class(), view.agent(), step.estimate);
   const std::string& near = step.spec.near_label;
   const bool far = !near.empty() && !view.HasLabel(near);
-  return far ? Scale(run, options_.worker_factor_near) : run;
+  return far ? Scale(run, options_.far_factor) : run;
 }
 
 std::vector<placement_candidate> job_scheduler_impl::Candidates(
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -34,8 +34,8 @@
   monotonic_time Advance(monotonic_time now,
                          std::vector<scheduler_command>& commands) override;
   const scheduler_counters& counters() const override { return counters_; }
-  scheduler_gauges gauges(monotonic_time now) const override;
-  bool ready(monotonic_time now) const override;
+  scheduler_gauges gauges() const override;
+  bool ready() const override;
 
  private:
   struct refusal {
--- a/src/scheduler/tests/job_scheduler_test.cc
+++ b/src/scheduler/tests/job_scheduler_test.cc
@@ -45,11 +45,11 @@
 TEST(JobSchedulerStart, IsNotReadyWithoutConfiguration) {
   scheduler_driver driver;
   driver.Beat(1);
-  EXPECT_FALSE(driver.core->ready(driver.now));
+  EXPECT_FALSE(driver.core->ready());
   driver.Handle(scheduler_driver::Job(1, "j"));
   EXPECT_EQ(driver.AnswerOf(1)->code, job_errc::kNotReady);
   driver.Configure();
-  EXPECT_TRUE(driver.core->ready(driver.now));
+  EXPECT_TRUE(driver.core->ready());
 }
 
 TEST_F(JobScheduler, RefusesAnUnknownKind) {
@@ -64,7 +64,7 @@
 TEST_F(JobScheduler, NeverAdoptsALowerVersion) {
   driver_.Configure(5);
   driver_.Configure(4);
-  EXPECT_EQ(driver_.core->gauges(driver_.now).config_version, 5U);
+  EXPECT_EQ(driver_.core->gauges().config_version, 5U);
 }
 
 // Guards against a retry of the same worker while another one is free, and
@@ -115,7 +115,7 @@
   driver_.TakeSent();
   driver_.Handle(caller_gone{caller_token{1}});
   EXPECT_GE(driver_.CountCancels(), 1U);
-  EXPECT_EQ(driver_.core->gauges(driver_.now).jobs, 0U);
+  EXPECT_EQ(driver_.core->gauges().jobs, 0U);
   EXPECT_TRUE(driver_.AnswersOf(1).empty());
 }
 
@@ -265,7 +265,7 @@
     return false;
   };
   driver_.Handle(drain_requested{});
-  EXPECT_FALSE(driver_.core->ready(driver_.now));
+  EXPECT_FALSE(driver_.core->ready());
   driver_.Handle(scheduler_driver::Job(1, "j"));
   const auto sent = driver_.TakeSent();
   ASSERT_EQ(sent.size(), 1U);
