--- a/src/scheduler/tests/run_supervisor_test.cc
+++ b/src/scheduler/tests/run_supervisor_test.cc
@@ -159,6 +159,17 @@
     EXPECT_EQ(after[at].lease_until.count(), 0);
 }
 
+// Guards against an order that is sent again right after a suspension, before
+// its lease and the entry's silence are judged.
+TEST_F(RunSupervisor, RepeatsNoOrderAfterASuspension) {
+  driver_.Dispatch(0);
+  ASSERT_EQ(driver_.All<start_run>().size(), 1U);
+  driver_.now += seconds(3);
+  driver_.Started(supervisor_driver::Name(0), order_result::kUnanswered);
+  EXPECT_EQ(driver_.All<start_run>().size(), 1U);
+  EXPECT_EQ(driver_.core->gauges().running, 0U);
+}
+
 // Guards against a lease that is renewed for a worker that does not answer:
 // then nobody could tell when its runs have ended.
 TEST_F(RunSupervisor, LetsTheLeaseOfASilentWorkerLapse) {
@@ -295,6 +306,9 @@
   driver_.AnswerLook({}, {{1, supervisor_driver::Name(0), run_end::kDone}});
   driver_.Dispatch(20);
   EXPECT_EQ(driver_.All<start_run>().size(), starts);
+  // Given back at once, not when its time in the queue is over.
+  EXPECT_EQ(driver_.Reports().back().task, 20U);
+  EXPECT_EQ(driver_.Reports().back().reason, run_reason::kDraining);
 }
 
 // Guards against a late dispatch, held up in a buffer, that starts a task
