Ask a silent worker again, and give its work back meanwhile

After four looks without an answer the lease lapsed and nothing ran any more, so that no further look was wanted: the agent never learned that its worker answers again, started nothing, and told its entries of free room and no wait.

Change: a silent worker is looked at until it answers or is forgotten. Meanwhile queued tasks are given back, dispatches are refused as kNoWorker and beats name no worker; the same holds for queued tasks when a worker is gone. A queue with nothing running is predicted to take its own work.

Four tests fail without it. Ruled out: processor time of the smallest entries (0.09 cores), whose late share is that of the large ones.

--- a/src/include/egretrack/scheduler/decision_record.h
+++ b/src/include/egretrack/scheduler/decision_record.h
@@ -42,6 +42,7 @@
   kWorkerGone,
   kWorkerRestarted,
   kWorkerSilent,
+  kWorkerAnswers,  // After it was silent.
   kLeaseLapsed,
   kEntryFound,
   kEntrySilent,
--- a/src/scheduler/decision_record.cc
+++ b/src/scheduler/decision_record.cc
@@ -41,6 +41,7 @@
             {"worker_gone", true},
             {"worker_restarted", true},
             {"worker_silent", true},
+            {"worker_answers", false},
             {"lease_lapsed", true},
             {"entry_found", false},
             {"entry_silent", true},
--- a/src/scheduler/run_supervisor.cc
+++ b/src/scheduler/run_supervisor.cc
@@ -124,8 +124,12 @@
 
 // ---- Drain ----------------------------------------------------------------
 
-bool run_supervisor_impl::refuses_work() const {
-  return draining_ || !worker_ || worker_->draining;
+std::optional<wire::run_reason> run_supervisor_impl::RefusesWork() const {
+  if (draining_ || (worker_ && worker_->draining))
+    return wire::run_reason::kDraining;
+  if (!worker_ || worker_silent())
+    return wire::run_reason::kNoWorker;
+  return std::nullopt;
 }
 
 void run_supervisor_impl::OnDrain(agent_drain_requested& /*event*/) {
--- a/src/scheduler/run_supervisor_impl.h
+++ b/src/scheduler/run_supervisor_impl.h
@@ -56,7 +56,8 @@
   monotonic_time NextWake() const;
   void ExpireQueued();
   void CheckDrain();
-  bool refuses_work() const;
+  // Why a dispatch is refused now; nothing when it is taken.
+  std::optional<wire::run_reason> RefusesWork() const;
   void Record(decision_kind kind,
               std::string_view job,
               std::vector<event_field> fields);
@@ -103,6 +104,10 @@
   // ---- run_supervisor_looks.cc: what the worker runs -----------------------
   void Look();
   void LookSoon();
+  // Whether so many looks in a row got no answer that the worker's state is
+  // not known any more.
+  bool worker_silent() const;
+  void OnWorkerSilent();
   bool WantsLook() const;
   bool MayExtendLease() const;
   void TakeEnds(const std::vector<ended_row>& ended);
--- a/src/scheduler/run_supervisor_links.cc
+++ b/src/scheduler/run_supervisor_links.cc
@@ -91,9 +91,8 @@
   run.target = now_ + message.target;
   run.return_at = now_ + message.queue_bound;
   const std::uint64_t number = runs_.Add(std::move(run));
-  if (refuses_work()) {
-    Refuse(number, worker_ || draining_ ? wire::run_reason::kDraining
-                                        : wire::run_reason::kNoWorker);
+  if (const auto reason = RefusesWork()) {
+    Refuse(number, *reason);
   } else if (!worker_->facts.capacity.Fits(message.need)) {
     Refuse(number, wire::run_reason::kNoRoom);
   }
@@ -239,7 +238,7 @@
   beat.sequence = link.NextBeat(now_);
   beat.failure_domain = options_.failure_domain;
   beat.members_hash = members_hash_;
-  if (worker_) {
+  if (worker_ && !worker_silent()) {
     const worker_report& facts = worker_->facts;
     beat.worker.push_back({facts.id, facts.desk, facts.labels, facts.capacity});
   }
--- a/src/scheduler/run_supervisor_looks.cc
+++ b/src/scheduler/run_supervisor_looks.cc
@@ -26,8 +26,12 @@
 
 }  // namespace
 
+bool run_supervisor_impl::worker_silent() const {
+  return looks_unanswered_ >= kMaxUnansweredLooks;
+}
+
 bool run_supervisor_impl::MayExtendLease() const {
-  if (looks_unanswered_ >= kMaxUnansweredLooks)
+  if (worker_silent())
     return false;
   return std::none_of(
       runs_.all().begin(), runs_.all().end(), [this](const auto& held) {
@@ -42,7 +46,7 @@
 bool run_supervisor_impl::WantsLook() const {
   if (!worker_)
     return false;
-  return !worker_->reconciled || runs_.CountAtWorker() > 0 ||
+  return worker_silent() || !worker_->reconciled || runs_.CountAtWorker() > 0 ||
          !foreign_.empty() || worker_->seen > worker_->acked;
 }
 
@@ -83,17 +87,20 @@
       return ForgetWorker(decision_kind::kWorkerGone);
     default:
       next_look_ = now_ + kLookRetry;
-      if (++looks_unanswered_ == kMaxUnansweredLooks) {
-        Record(decision_kind::kWorkerSilent, "",
-               {{"worker", worker_->facts.id},
-                {"lease_left_us", (lease_.expires_at() - now_).count()}});
-      }
+      if (++looks_unanswered_ == kMaxUnansweredLooks)
+        OnWorkerSilent();
       return;
   }
   if (event.born != worker_->facts.born) {
     ForgetWorker(decision_kind::kWorkerRestarted);
     return;
   }
+  if (worker_silent()) {
+    Record(decision_kind::kWorkerAnswers, "",
+           {{"worker", worker_->facts.id},
+            {"looks_unanswered", std::int64_t{looks_unanswered_}}});
+    BeatSoon();
+  }
   looks_unanswered_ = 0;
   worker_->heard = now_;
   worker_->acked = std::max(worker_->acked, look_seen_);
@@ -106,6 +113,16 @@
   }
 }
 
+// Nothing can be started there, so that what waits is given back and the
+// entries are told that there is no worker until a look is answered again.
+void run_supervisor_impl::OnWorkerSilent() {
+  Record(decision_kind::kWorkerSilent, "",
+         {{"worker", worker_->facts.id},
+          {"lease_left_us", (lease_.expires_at() - now_).count()}});
+  RefuseQueued(wire::run_reason::kNoWorker);
+  BeatSoon();
+}
+
 void run_supervisor_impl::LookSoon() {
   next_look_ = std::min(next_look_, now_ + kStopLookInterval);
 }
--- a/src/scheduler/run_supervisor_worker.cc
+++ b/src/scheduler/run_supervisor_worker.cc
@@ -245,6 +245,7 @@
          {{"worker", worker_->facts.id},
           {"runs", static_cast<std::int64_t>(runs_.CountAtWorker())}});
   LoseAllRuns(wire::run_reason::kWorkerLost);
+  RefuseQueued(wire::run_reason::kNoWorker);
   worker_.reset();
   lease_.Reset();
   foreign_.clear();
--- a/src/scheduler/run_table.cc
+++ b/src/scheduler/run_table.cc
@@ -110,6 +110,16 @@
   return best;
 }
 
+// In microseconds of a thousandth of a core.
+microseconds run_table::QueuedWork() const {
+  microseconds work{0};
+  for (const auto& [number, run] : runs_) {
+    if (IsQueued(run))
+      work += run.predicted * run.need.cpu_milli;
+  }
+  return work;
+}
+
 // Lets the runs release their room in the order of their predicted ends until
 // everything queued and one more task fit.
 microseconds run_table::PredictWait(const room& capacity,
@@ -130,9 +140,9 @@
     if (missing <= 0)
       return wait;
   }
-  // More is queued than runs: the rest waits for as many rounds again.
-  const std::int64_t per_round = std::max<std::int64_t>(capacity.cpu_milli, 1);
-  return wait + wait * (missing / per_round + 1);
+  // More is queued than runs, or nothing runs yet: what is queued has to be
+  // worked off as well.
+  return wait + QueuedWork() / std::max<std::int64_t>(capacity.cpu_milli, 1);
 }
 
 }  // namespace egretrack::scheduler
--- a/src/scheduler/run_table.h
+++ b/src/scheduler/run_table.h
@@ -78,6 +78,7 @@
 
  private:
   bool IsBlocked(const agent_run& run) const;
+  microseconds QueuedWork() const;
 
   runs runs_;
   std::uint64_t last_number_ = 0;
--- a/src/scheduler/tests/run_supervisor_test.cc
+++ b/src/scheduler/tests/run_supervisor_test.cc
@@ -20,6 +20,17 @@
     driver_.Started(supervisor_driver::Name(task));
   }
 
+  // Lets time pass in which the worker answers no look.
+  void PassSilent(microseconds time) {
+    constexpr milliseconds kStep{25};
+    for (microseconds passed{0}; passed < time; passed += kStep) {
+      driver_.Pass(kStep);
+      driver_.ReplyToBeats();
+      if (driver_.All<look_at_worker>().size() > driver_.answered_looks)
+        driver_.LookFails();
+    }
+  }
+
   supervisor_driver driver_;
 };
 
@@ -187,6 +198,65 @@
   EXPECT_LE(driver_.now - before, milliseconds(1000));
 }
 
+// Guards against a worker that is never asked again once its runs were lost: it
+// kept its place among the workers and started nothing until it restarted.
+TEST_F(RunSupervisor, StartsAgainOnAWorkerThatWasSilent) {
+  Run(0);
+  PassSilent(seconds(2));
+  ASSERT_EQ(driver_.core->gauges().running, 0U);
+  driver_.PassAlive(milliseconds(200), {});
+  driver_.Dispatch(1);
+  ASSERT_FALSE(driver_.All<start_run>().empty());
+  EXPECT_EQ(driver_.All<start_run>().back().name, supervisor_driver::Name(1));
+}
+
+// Guards against a silent worker that attracts tasks, since nothing runs there:
+// each of them waited for its whole queue bound in vain.
+TEST_F(RunSupervisor, RefusesWorkWhileItsWorkerIsSilent) {
+  for (std::uint32_t task = 0; task < 11; ++task) {
+    driver_.Dispatch(task);
+    driver_.Started(supervisor_driver::Name(task));
+  }
+  PassSilent(milliseconds(350));
+  ASSERT_EQ(driver_.Reports().size(), 1U);
+  EXPECT_EQ(driver_.Reports()[0].end, run_end::kRefused);
+  EXPECT_EQ(driver_.Reports()[0].reason, run_reason::kNoWorker);
+  EXPECT_EQ(driver_.LastBeatNamesWorker(0), false);
+
+  const std::size_t starts = driver_.All<start_run>().size();
+  driver_.Dispatch(20);
+  ASSERT_EQ(driver_.Reports().size(), 2U);
+  EXPECT_EQ(driver_.Reports()[1].reason, run_reason::kNoWorker);
+  EXPECT_EQ(driver_.All<start_run>().size(), starts);
+
+  driver_.PassAlive(milliseconds(100), {});
+  EXPECT_EQ(driver_.LastBeatNamesWorker(0), true);
+}
+
+// Guards against tasks that wait at an agent for a worker that is gone.
+TEST_F(RunSupervisor, GivesBackWhatWaitsWhenItsWorkerIsGone) {
+  for (std::uint32_t task = 0; task < 11; ++task) {
+    driver_.Dispatch(task);
+    driver_.Started(supervisor_driver::Name(task));
+  }
+  driver_.Handle(worker_left{"w"});
+  const auto reports = driver_.Reports();
+  ASSERT_EQ(reports.size(), 11U);
+  EXPECT_EQ(reports[10].end, run_end::kRefused);
+  EXPECT_EQ(reports[10].reason, run_reason::kNoWorker);
+}
+
+// Guards against a queue that is predicted to take no time because nothing
+// runs yet whose end could be predicted.
+TEST_F(RunSupervisor, PredictsAWaitBehindAQueueAlone) {
+  driver_.Handle(supervisor_driver::Worker(2000, 1));  // Not looked at yet.
+  for (std::uint32_t task = 0; task < 30; ++task)
+    driver_.Dispatch(task, milliseconds(100));
+  driver_.Pass(milliseconds(300));
+  EXPECT_GE(driver_.All<send_to_entry>().back().frame.load.wait,
+            milliseconds(100));
+}
+
 // Guards against runs of an earlier incarnation that go on unseen, and against
 // an entry that is told too early that they have ended.
 TEST(RunSupervisorStart, StopsWhatItDidNotStart) {
--- a/src/scheduler/tests/supervisor_driver.h
+++ b/src/scheduler/tests/supervisor_driver.h
@@ -203,17 +203,29 @@
     return reports;
   }
 
-  // Whether the last beat to the entry says that older runs have ended.
-  std::optional<bool> LastSettled(entry_index entry) const {
-    std::optional<bool> settled;
+  // The last beat to the entry; nothing before the first.
+  std::optional<wire::agent_beat> LastBeat(entry_index entry) const {
+    std::optional<wire::agent_beat> last;
     for (const auto& send : All<send_to_entry>()) {
       for (const auto& message : send.frame.messages) {
         const auto* beat = std::get_if<wire::agent_beat>(&message);
         if (beat != nullptr && send.entry == entry)
-          settled = beat->settled;
+          last = *beat;
       }
     }
-    return settled;
+    return last;
+  }
+
+  // Whether the last beat to the entry says that older runs have ended.
+  std::optional<bool> LastSettled(entry_index entry) const {
+    const auto beat = LastBeat(entry);
+    return beat ? std::optional(beat->settled) : std::nullopt;
+  }
+
+  // Whether the last beat to the entry names a worker that may be used.
+  std::optional<bool> LastBeatNamesWorker(entry_index entry) const {
+    const auto beat = LastBeat(entry);
+    return beat ? std::optional(!beat->worker.empty()) : std::nullopt;
   }
 
   std::unique_ptr<run_supervisor> core;
