Give a task back at once when its place was taken

Cause: entries know an agent's load as it was some 30 ms ago, so that a fifth to a half of the tasks at the crest reach an agent whose free place was taken meanwhile. A task then waited there for 100 ms, which is more than a stock check has to spare (60 ms aim beside 51 ms of work), before it was placed anew.

Change: the pause before a task is given back is a sixteenth of the time that it has to spare, 5 ms at least; tasks that are late anyway keep 100 ms.

--- a/src/scheduler/job_scheduler_dispatch.cc
+++ b/src/scheduler/job_scheduler_dispatch.cc
@@ -7,13 +7,28 @@
 namespace {
 
 // An agent gives a task back that waits for longer than predicted by this
-// factor and pause, so that it may be placed anew. The pause keeps tasks from
-// wandering between agents that are all full.
+// factor and pause, so that it may be placed anew. The pause is a share of the
+// time that the task has to spare, so that a place that was taken meanwhile
+// costs it little. A task that is late anyway waits for longer, which keeps it
+// from wandering between agents that are all full.
 constexpr int kQueueBoundFactor = 2;
-constexpr milliseconds kQueueBoundPause{100};
+constexpr double kPauseShare = 1.0 / 16;
+constexpr milliseconds kShortestPause{5};
+constexpr milliseconds kLongestPause{100};
 // A task must start while this share of its predicted run time is left.
 constexpr double kStartByShare = 0.5;
 
+microseconds QueueBound(const placement_candidate& chosen,
+                        microseconds target_in) {
+  const microseconds to_spare = target_in - chosen.run - chosen.wait;
+  microseconds pause = kLongestPause;
+  if (to_spare > microseconds(0)) {
+    pause = std::clamp<microseconds>(Scale(to_spare, kPauseShare),
+                                     kShortestPause, kLongestPause);
+  }
+  return kQueueBoundFactor * chosen.wait + pause;
+}
+
 }  // namespace
 
 // ---- Dispatch -------------------------------------------------------------
@@ -141,7 +156,7 @@
   dispatch.predicted = chosen->run;
   dispatch.start_by = job.deadline - Scale(chosen->run, kStartByShare);
   dispatch.target = job.target - now_;
-  dispatch.queue_bound = kQueueBoundFactor * chosen->wait + kQueueBoundPause;
+  dispatch.queue_bound = QueueBound(*chosen, dispatch.target);
   view.NoteDispatch(step.spec.need);
   view.outgoing.emplace_back(std::move(dispatch));
   return true;
--- a/src/scheduler/tests/job_scheduler_test.cc
+++ b/src/scheduler/tests/job_scheduler_test.cc
@@ -229,6 +229,31 @@
   EXPECT_EQ(driver.AnswerOf(1)->state, job_state::kRefused);
 }
 
+// Guards against short tasks that stay behind a place that was taken until they
+// are late, although other workers are free.
+TEST_F(JobScheduler, LeavesTimeToPlaceAReturnedTaskAnew) {
+  auto job = scheduler_driver::Job(1, "j");
+  job.steps[0].estimate = milliseconds(50);
+  driver_.Handle(job);
+  const auto sent = driver_.TakeSent();
+  ASSERT_EQ(sent.size(), 1U);
+  const wire::run_dispatch& dispatch = sent[0].dispatch;
+  EXPECT_LE(2 * dispatch.queue_bound + dispatch.predicted, dispatch.target);
+}
+
+// Guards against tasks that are late anyway and wander between full workers.
+TEST_F(JobScheduler, LetsALateTaskWait) {
+  driver_.Handle(scheduler_driver::Job(1, "j"));
+  const auto sent = driver_.TakeSent();
+  driver_.PassWithBeats(milliseconds(250), {1, 2});
+  driver_.Report(sent[0], wire::run_end::kRefused,
+                 wire::run_reason::kQueuedTooLong);
+  const auto again = driver_.TakeSent();
+  ASSERT_EQ(again.size(), 1U);
+  EXPECT_LT(again[0].dispatch.target, again[0].dispatch.predicted);
+  EXPECT_GE(again[0].dispatch.queue_bound, milliseconds(100));
+}
+
 // Guards against work that is sent to an agent whose worker is leaving.
 TEST_F(JobScheduler, SendsNothingToALeavingWorker) {
   auto frame = driver_.Frame(1);
