Read settings again when their file changes without a signal

Cause: the platform may change a process's settings file without SIGHUP; the daemon read it at the next signal only, so that new seeds stayed unknown.

Change: the thread that waits for signals wakes once a second and compares the text of the file with what was read, for roles that can reload.

Checked: unit tests of the watch; a job entry started by hand, whose file then got a seed, logged settings_reloaded two seconds later.

--- a/src/egretrackd/main.cc
+++ b/src/egretrackd/main.cc
@@ -1,6 +1,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
 #include <memory>
 #include <string>
 #include <thread>
@@ -13,6 +14,7 @@
 #include "egretrack/entry/entry.h"
 #include "egretrack/job_agent/job_agent.h"
 #include "egretrack/job_entry/job_entry.h"
+#include "egretrack/settings/file_watch.h"
 #include "egretrack/settings/settings.h"
 #include "egretrack/telemetry/log.h"
 
@@ -24,6 +26,12 @@
 constexpr int kExitInvalidSettings = 2;
 constexpr int kExitStartFailed = 3;
 
+// How often the settings file is compared with what was read, as it may change
+// without a signal. A change is in force well within the platform's bound of
+// two seconds.
+constexpr seconds kSettingsInterval{1};
+constexpr int kNoSignal = 0;
+
 // Blocks the signals that this process handles in this and all later threads,
 // so that only HandleSignals() sees them.
 sigset_t BlockSignals() {
@@ -60,21 +68,32 @@
   }
 }
 
-// Turns every shutdown signal into a drain; later ones change nothing.
+// The next signal, or kNoSignal after `interval`.
+int WaitForSignal(const sigset_t& signals, seconds interval) {
+  const timespec bound{static_cast<std::time_t>(interval.count()), 0};
+  const int signal = sigtimedwait(&signals, nullptr, &bound);
+  return signal > 0 ? signal : kNoSignal;
+}
+
+// Turns every shutdown signal into a drain; later ones change nothing. Settings
+// are read again on SIGHUP and when their file has changed.
 template <typename Settings, typename Process>
 void HandleSignals(sigset_t signals,
                    std::string path,
                    std::shared_ptr<Process> process) {
   std::thread([signals, path = std::move(path), process = std::move(process)] {
     const telemetry::logger log("daemon");
-    int signal = 0;
-    while (sigwait(&signals, &signal) == 0) {
-      if (signal == SIGHUP) {
-        Reload<Process, Settings>(*process, path);
+    settings::file_watch watch(path);
+    for (;;) {
+      const int signal = WaitForSignal(signals, kSettingsInterval);
+      if (signal == SIGTERM || signal == SIGINT) {
+        log.Info("Stopping on signal " + std::to_string(signal) + ".");
+        process->Drain();
         continue;
       }
-      log.Info("Stopping on signal " + std::to_string(signal) + ".");
-      process->Drain();
+      const bool changed = reloadable<Process, Settings> && watch.Changed();
+      if (signal == SIGHUP || changed)
+        Reload<Process, Settings>(*process, path);
     }
   }).detach();
 }
--- a/src/scheduler/run_supervisor_looks.cc
+++ b/src/scheduler/run_supervisor_looks.cc
@@ -19,11 +19,24 @@
 constexpr milliseconds kStopLookInterval{30};
 // Pause after a look that failed.
 constexpr milliseconds kLookRetry{20};
-// A run without progress for so long, and for this share of its age, stands
-// still. The worker tells progress in whole percent.
-constexpr milliseconds kStallBound{400};
+// A run without progress for so many times what one percent of it takes, and
+// for this share of its age, stands still. The worker tells progress in whole
+// percent; a straggler on a slow worker takes 50 times what was predicted.
+constexpr int kStallFactor = 50;
+constexpr milliseconds kShortestStallBound{100};
+constexpr milliseconds kLongestStallBound{400};
 constexpr double kStallShare = 0.04;
 
+microseconds StallBound(const agent_run& run, monotonic_time now) {
+  const microseconds per_percent =
+      run.percent > 0 ? microseconds((run.progressed - run.started) /
+                                     static_cast<std::int64_t>(run.percent))
+                      : run.predicted / 100;
+  const microseconds bound = std::clamp<microseconds>(
+      kStallFactor * per_percent, kShortestStallBound, kLongestStallBound);
+  return std::max(bound, Scale(now - run.started, kStallShare));
+}
+
 }  // namespace
 
 bool run_supervisor_impl::worker_silent() const {
@@ -195,15 +208,16 @@
     run.progressed = now_;
     return;
   }
-  const microseconds bound = std::max<microseconds>(
-      kStallBound, Scale(now_ - run.started, kStallShare));
-  if (now_ - run.progressed <= bound)
+  // The worker counted after the look was sent; its answer may have waited
+  // here.
+  const microseconds standstill = look_sent_ - run.progressed;
+  if (standstill <= StallBound(run, now_))
     return;
   ++counters_.stalls;
   Record(decision_kind::kRunStalled, run.name.job_key,
          {{"task", std::int64_t{run.task}},
           {"percent", std::int64_t{run.percent}},
-          {"standstill_us", (now_ - run.progressed).count()}});
+          {"standstill_us", standstill.count()}});
   Stop(run, wire::run_reason::kStalled);
 }
 
--- a/src/scheduler/tests/run_supervisor_test.cc
+++ b/src/scheduler/tests/run_supervisor_test.cc
@@ -342,6 +342,36 @@
   EXPECT_EQ(driver_.core->counters().stalls, 1U);
 }
 
+// Guards against a short run that stands still until its job is late, although
+// the worker would have shown progress at every look.
+TEST_F(RunSupervisor, StopsAShortRunThatStandsStillWithinItsTarget) {
+  driver_.Dispatch(0, milliseconds(50));
+  driver_.Started(supervisor_driver::Name(0));
+  driver_.PassAlive(milliseconds(200), {{supervisor_driver::Name(0), 0}});
+  EXPECT_EQ(driver_.core->counters().stalls, 1U);
+}
+
+// Guards against a slow run that is taken to stand still: its next percent
+// takes longer than a short run as a whole.
+TEST_F(RunSupervisor, LeavesASlowRunAlone) {
+  driver_.Dispatch(0, milliseconds(1500));
+  driver_.Started(supervisor_driver::Name(0));
+  driver_.PassAlive(milliseconds(350), {{supervisor_driver::Name(0), 0}});
+  driver_.PassAlive(milliseconds(350), {{supervisor_driver::Name(0), 1}});
+  EXPECT_EQ(driver_.core->counters().stalls, 0U);
+}
+
+// Guards against a run that is taken to stand still because this process was
+// suspended between a look's answer and its handling.
+TEST_F(RunSupervisor, JudgesAStandstillByTheTimeOfTheLook) {
+  driver_.Dispatch(0, milliseconds(50));
+  driver_.Started(supervisor_driver::Name(0));
+  driver_.PassAlive(milliseconds(75), {{supervisor_driver::Name(0), 10}});
+  driver_.now += milliseconds(300);
+  driver_.AnswerLook({{supervisor_driver::Name(0), 10}});
+  EXPECT_EQ(driver_.core->counters().stalls, 0U);
+}
+
 // Guards against runs that are waited for although their worker has crashed.
 TEST_F(RunSupervisor, LosesTheRunsOfACrashedWorker) {
   Run(0);
--- /dev/null
+++ b/src/settings/tests/file_watch_test.cc
@@ -0,0 +1,45 @@
+#include "egretrack/settings/file_watch.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <filesystem>
+#include <string>
+
+#include "egretrack/base/file.h"
+
+namespace egretrack::settings {
+namespace {
+
+class FileWatch : public testing::Test {
+ protected:
+  void SetUp() override { Write("a = 1\n"); }
+  void TearDown() override { std::filesystem::remove(path_); }
+
+  void Write(std::string_view text) {
+    ASSERT_TRUE(ReplaceFile(path_, std::string(text)));
+  }
+
+  const std::string path_ = testing::TempDir() + "file_watch_test.toml";
+};
+
+// Guards against settings that change without a signal and stay unnoticed.
+TEST_F(FileWatch, NoticesAChangeOnce) {
+  file_watch watch(path_);
+  EXPECT_FALSE(watch.Changed());
+  Write("a = 2\n");
+  EXPECT_TRUE(watch.Changed());
+  EXPECT_FALSE(watch.Changed());
+}
+
+// Guards against a reload of a file that is being replaced.
+TEST_F(FileWatch, IgnoresAMissingFile) {
+  file_watch watch(path_);
+  std::filesystem::remove(path_);
+  EXPECT_FALSE(watch.Changed());
+  Write("a = 1\n");
+  EXPECT_FALSE(watch.Changed());
+}
+
+}  // namespace
+}  // namespace egretrack::settings
