Shorten the limits of time that a deployment does not allow

Cause: the lease, the bound on silence and the limits of a drain were fixed for the deployments at hand. Where callers send a job again sooner, a run could go on beside its repetition; where the kill follows the signal sooner, a drain would be cut.

Change: the templates hand the longest lease, the time after which callers send again and the grace of a stop to the product, which shortens its limits to them and never lengthens them. The deployments at hand demand nothing shorter.

--- a/src/include/egretrack/settings/settings.h
+++ b/src/include/egretrack/settings/settings.h
@@ -125,6 +125,9 @@
   milliseconds drain_grace{2500};
   milliseconds drain_bound{3000};
   milliseconds drain_end{5300};
+  // Demands of the deployment, which shorten the limits above. 0: none.
+  double resubmit_after_ms = 0;  // Callers send a job again after this time.
+  double stop_grace_s = 0;       // From the signal to stop until the kill.
   std::string ports_file;
   log_settings log;
 };
@@ -144,6 +147,10 @@
   milliseconds lease{700};
   milliseconds renew_interval{50};
   milliseconds drain_bound{5000};
+  // Demands of the deployment, which shorten the limits above. 0: none.
+  double longest_lease_ms = 0;  // That a worker grants.
+  double resubmit_after_ms = 0;
+  double stop_grace_s = 0;
   std::string ports_file;
   log_settings log;
 };
--- a/src/job_agent/job_agent_process.cc
+++ b/src/job_agent/job_agent_process.cc
@@ -11,6 +11,7 @@
 #include "egretrack/job_agent/job_agent.h"
 #include "egretrack/net/frame_link.h"
 #include "egretrack/net/http.h"
+#include "egretrack/scheduler/deployment_limits.h"
 #include "egretrack/wire/run_codec.h"
 #include "job_agent/job_agent_control.h"
 #include "job_agent/worker_caller.h"
@@ -63,6 +64,10 @@
   options.lease = settings.lease;
   options.renew_interval = settings.renew_interval;
   options.drain_bound = settings.drain_bound;
+  ApplyLimits(scheduler::deployment_limits::Create(settings.longest_lease_ms,
+                                                   settings.resubmit_after_ms,
+                                                   settings.stop_grace_s),
+              options);
   return options;
 }
 
--- a/src/job_entry/job_entry_process.cc
+++ b/src/job_entry/job_entry_process.cc
@@ -12,6 +12,7 @@
 #include "egretrack/job_entry/job_entry.h"
 #include "egretrack/net/frame_link.h"
 #include "egretrack/net/http.h"
+#include "egretrack/scheduler/deployment_limits.h"
 #include "egretrack/wire/run_codec.h"
 #include "job_entry/job_entry_control.h"
 #include "platform/job_api.h"
@@ -78,6 +79,9 @@
   options.drain_grace = settings.drain_grace;
   options.drain_bound = settings.drain_bound;
   options.drain_end = settings.drain_end;
+  ApplyLimits(scheduler::deployment_limits::Create(
+                  0, settings.resubmit_after_ms, settings.stop_grace_s),
+              options);
   return options;
 }
 
--- a/src/settings/job_keys.cc
+++ b/src/settings/job_keys.cc
@@ -14,6 +14,9 @@
 
 constexpr number_range kTimeMs{20, 60000};
 constexpr number_range kPort{1, 65535};
+// 0 stands for no demand.
+constexpr number_range kDemandMs{0, 3600000};
+constexpr number_range kDemandS{0, 3600};
 
 void ReadPort(const toml::node& node,
               std::string_view key,
@@ -65,6 +68,12 @@
       rule{.name = "drain_end_ms",
            .target = &s::drain_end,
            .range = {0, 120000}},
+      rule{.name = "resubmit_after_ms",
+           .target = &s::resubmit_after_ms,
+           .range = kDemandMs},
+      rule{.name = "stop_grace_s",
+           .target = &s::stop_grace_s,
+           .range = kDemandS},
       PortsFileRule<s>(),
       LogRule<s>(),
   };
@@ -98,6 +107,15 @@
       rule{.name = "drain_bound_ms",
            .target = &s::drain_bound,
            .range = {0, 60000}},
+      rule{.name = "longest_lease_ms",
+           .target = &s::longest_lease_ms,
+           .range = kDemandMs},
+      rule{.name = "resubmit_after_ms",
+           .target = &s::resubmit_after_ms,
+           .range = kDemandMs},
+      rule{.name = "stop_grace_s",
+           .target = &s::stop_grace_s,
+           .range = kDemandS},
       PortsFileRule<s>(),
       LogRule<s>(),
   };
