Give up lost looks and orders sooner, and a silent worker later

Change: looks wait for 30 ms and are given up 20 ms later, orders after 20 ms. A worker counts as silent after four looks without an answer over 250 ms, so that the shorter bounds give no worker up that merely got no processor time.

--- a/src/include/egretrack/scheduler/run_supervisor.h
+++ b/src/include/egretrack/scheduler/run_supervisor.h
@@ -184,7 +184,7 @@
   milliseconds entry_silence{600};
   // How long the worker's runs outlive this process.
   milliseconds lease{700};
-  milliseconds renew_interval{50};         // Two renewals may be lost.
+  milliseconds renew_interval{30};         // Many renewals may be lost.
   milliseconds worker_report_bound{5000};  // Three of its reports.
   milliseconds drain_bound{5000};
   std::uint32_t orders_in_flight = 8;  // Each takes a connection to the worker.
--- a/src/include/egretrack/settings/settings.h
+++ b/src/include/egretrack/settings/settings.h
@@ -145,7 +145,7 @@
   milliseconds store_timeout{500};
   milliseconds entry_silence{600};
   milliseconds lease{700};
-  milliseconds renew_interval{50};
+  milliseconds renew_interval{30};
   milliseconds drain_bound{5000};
   // Demands of the deployment, which shorten the limits above. 0: none.
   double longest_lease_ms = 0;  // That a worker grants.
--- a/src/job_agent/worker_caller.cc
+++ b/src/job_agent/worker_caller.cc
@@ -10,9 +10,10 @@
 // The worker answers an order within a millisecond or two, on the same
 // machine; what takes much longer is lost or carried out late. Each order that
 // waits holds up the next starts.
-constexpr milliseconds kOrderTimeout{50};
-// On top of the time that a look may wait for an end.
-constexpr milliseconds kLookSlack{50};
+constexpr milliseconds kOrderTimeout{20};
+// On top of the time that a look may wait for an end. Until a look is given up,
+// no end is seen and no room becomes free.
+constexpr milliseconds kLookSlack{20};
 // One for looks, eight for starts, one for stops.
 constexpr std::size_t kConnections = 10;
 
--- a/src/scheduler/run_supervisor.cc
+++ b/src/scheduler/run_supervisor.cc
@@ -127,7 +127,7 @@
 std::optional<wire::run_reason> run_supervisor_impl::RefusesWork() const {
   if (draining_ || (worker_ && worker_->draining))
     return wire::run_reason::kDraining;
-  if (!worker_ || worker_silent())
+  if (!worker_ || worker_silent_)
     return wire::run_reason::kNoWorker;
   return std::nullopt;
 }
--- a/src/scheduler/run_supervisor_impl.h
+++ b/src/scheduler/run_supervisor_impl.h
@@ -104,10 +104,7 @@
   // ---- run_supervisor_looks.cc: what the worker runs -----------------------
   void Look();
   void LookSoon();
-  // Whether so many looks in a row got no answer that the worker's state is
-  // not known any more.
-  bool worker_silent() const;
-  void OnWorkerSilent();
+  void CountUnansweredLook();
   bool WantsLook() const;
   bool MayExtendLease() const;
   void TakeEnds(const std::vector<ended_row>& ended);
@@ -132,6 +129,9 @@
   std::uint64_t look_seen_ = 0;  // What the look in flight acknowledges.
   monotonic_time next_look_{};
   std::uint32_t looks_unanswered_ = 0;  // In a row.
+  monotonic_time first_unanswered_look_{};
+  // So many got no answer that the worker's state is not known any more.
+  bool worker_silent_ = false;
   bool draining_ = false;
   bool drained_ = false;
   monotonic_time drain_end_{};
--- a/src/scheduler/run_supervisor_links.cc
+++ b/src/scheduler/run_supervisor_links.cc
@@ -238,7 +238,7 @@
   beat.sequence = link.NextBeat(now_);
   beat.failure_domain = options_.failure_domain;
   beat.members_hash = members_hash_;
-  if (worker_ && !worker_silent()) {
+  if (worker_ && !worker_silent_) {
     const worker_report& facts = worker_->facts;
     beat.worker.push_back({facts.id, facts.desk, facts.labels, facts.capacity});
   }
--- a/src/scheduler/run_supervisor_looks.cc
+++ b/src/scheduler/run_supervisor_looks.cc
@@ -8,9 +8,12 @@
 namespace egretrack::scheduler {
 namespace {
 
-// Unanswered looks in a row after which the lease is left to lapse: whether
-// the worker still obeys is not known any more.
+// Unanswered looks in a row, over this time, after which the lease is left to
+// lapse: whether the worker still obeys is not known any more. A machine that
+// gets its processor time in slices of a tenth of a second may miss the answers
+// of several looks.
 constexpr std::uint32_t kMaxUnansweredLooks = 4;
+constexpr milliseconds kWorkerSilence{250};
 // A stop that gets no answer for so long has the same effect.
 constexpr milliseconds kStopBound{300};
 // The worker ends a stopped run within 50 ms and then lists its end.
@@ -39,12 +42,8 @@
 
 }  // namespace
 
-bool run_supervisor_impl::worker_silent() const {
-  return looks_unanswered_ >= kMaxUnansweredLooks;
-}
-
 bool run_supervisor_impl::MayExtendLease() const {
-  if (worker_silent())
+  if (worker_silent_)
     return false;
   return std::none_of(
       runs_.all().begin(), runs_.all().end(), [this](const auto& held) {
@@ -59,7 +58,7 @@
 bool run_supervisor_impl::WantsLook() const {
   if (!worker_)
     return false;
-  return worker_silent() || !worker_->reconciled || runs_.CountAtWorker() > 0 ||
+  return worker_silent_ || !worker_->reconciled || runs_.CountAtWorker() > 0 ||
          !foreign_.empty() || worker_->seen > worker_->acked;
 }
 
@@ -100,15 +99,15 @@
       return ForgetWorker(decision_kind::kWorkerGone);
     default:
       next_look_ = now_ + kLookRetry;
-      if (++looks_unanswered_ == kMaxUnansweredLooks)
-        OnWorkerSilent();
+      CountUnansweredLook();
       return;
   }
   if (event.born != worker_->facts.born) {
     ForgetWorker(decision_kind::kWorkerRestarted);
     return;
   }
-  if (worker_silent()) {
+  if (worker_silent_) {
+    worker_silent_ = false;
     Record(decision_kind::kWorkerAnswers, "",
            {{"worker", worker_->facts.id},
             {"looks_unanswered", std::int64_t{looks_unanswered_}}});
@@ -126,9 +125,17 @@
   }
 }
 
-// Nothing can be started there, so that what waits is given back and the
-// entries are told that there is no worker until a look is answered again.
-void run_supervisor_impl::OnWorkerSilent() {
+// Nothing can be started on a silent worker, so that what waits is given back
+// and the entries are told that there is none until a look is answered again.
+void run_supervisor_impl::CountUnansweredLook() {
+  if (looks_unanswered_ == 0)
+    first_unanswered_look_ = look_sent_;
+  ++looks_unanswered_;
+  const bool silent = looks_unanswered_ >= kMaxUnansweredLooks &&
+                      now_ - first_unanswered_look_ >= kWorkerSilence;
+  if (worker_silent_ || !silent)
+    return;
+  worker_silent_ = true;
   Record(decision_kind::kWorkerSilent, "",
          {{"worker", worker_->facts.id},
           {"lease_left_us", (lease_.expires_at() - now_).count()}});
--- a/src/scheduler/run_supervisor_worker.cc
+++ b/src/scheduler/run_supervisor_worker.cc
@@ -250,6 +250,7 @@
   lease_.Reset();
   foreign_.clear();
   looks_unanswered_ = 0;
+  worker_silent_ = false;
   next_look_ = now_;
   BeatSoon();
 }
--- a/src/scheduler/tests/run_supervisor_test.cc
+++ b/src/scheduler/tests/run_supervisor_test.cc
@@ -210,6 +210,29 @@
   EXPECT_EQ(driver_.All<start_run>().back().name, supervisor_driver::Name(1));
 }
 
+// Guards against a look without an answer that hides ends, and so free room,
+// for longer than the 60 ms that a short task has to spare. A look is given up
+// 20 ms after the time that it may wait.
+TEST_F(RunSupervisor, LosesLittleTimeByALostLook) {
+  Run(0);
+  driver_.AnswerLook({{supervisor_driver::Name(0), 10}});
+  EXPECT_LE(driver_.All<look_at_worker>().back().wait, milliseconds(40));
+}
+
+// Guards against a worker that is given up because this process, or the worker,
+// got no processor time for a tenth of a second.
+TEST_F(RunSupervisor, KeepsAWorkerThatMissesLooksForAMoment) {
+  Run(0);
+  for (int look = 0; look < 6; ++look) {
+    driver_.LookFails();
+    driver_.Pass(milliseconds(25));
+  }
+  driver_.AnswerLook({{supervisor_driver::Name(0), 40}});
+  driver_.Dispatch(1);
+  EXPECT_EQ(driver_.All<start_run>().size(), 2U);
+  EXPECT_EQ(driver_.LastBeatNamesWorker(0), true);
+}
+
 // Guards against a silent worker that attracts tasks, since nothing runs there:
 // each of them waited for its whole queue bound in vain.
 TEST_F(RunSupervisor, RefusesWorkWhileItsWorkerIsSilent) {
