Ask a silent worker less often, and read the demands by one rule

Each look at a worker that does not answer may take a new connection, so that a silent one is asked every 100 ms in place of 20 ms. The keys for the demands of the deployment share one rule.

--- a/src/scheduler/run_supervisor_looks.cc
+++ b/src/scheduler/run_supervisor_looks.cc
@@ -20,8 +20,10 @@
 constexpr milliseconds kStopTime{60};
 // Between looks while a stop waits for its end.
 constexpr milliseconds kStopLookInterval{30};
-// Pause after a look that failed.
+// Pause after a look that failed; longer for a silent worker, as each try may
+// take a new connection.
 constexpr milliseconds kLookRetry{20};
+constexpr milliseconds kSilentLookRetry{100};
 // A run without progress for so many times what one percent of it takes, and
 // for this share of its age, stands still. The worker tells progress in whole
 // percent; a straggler on a slow worker takes 50 times what was predicted.
@@ -98,8 +100,8 @@
     case order_result::kUnreachable:
       return ForgetWorker(decision_kind::kWorkerGone);
     default:
-      next_look_ = now_ + kLookRetry;
       CountUnansweredLook();
+      next_look_ = now_ + (worker_silent_ ? kSilentLookRetry : kLookRetry);
       return;
   }
   if (event.born != worker_->facts.born) {
--- a/src/settings/job_keys.cc
+++ b/src/settings/job_keys.cc
@@ -14,9 +14,9 @@
 
 constexpr number_range kTimeMs{20, 60000};
 constexpr number_range kPort{1, 65535};
-// 0 stands for no demand.
-constexpr number_range kDemandMs{0, 3600000};
-constexpr number_range kDemandS{0, 3600};
+// Of a demand of the deployment, in the unit that its name ends with; 0 stands
+// for none.
+constexpr number_range kDemand{0, 3600000};
 
 void ReadPort(const toml::node& node,
               std::string_view key,
@@ -31,6 +31,11 @@
   return keys::FormatNumber(std::int64_t{object.entry_port});
 }
 
+template <typename Settings>
+key_rule<Settings> DemandRule(std::string_view name, double Settings::*member) {
+  return {.name = name, .target = member, .range = kDemand};
+}
+
 }  // namespace
 
 std::span<const key_rule<job_entry_settings>> JobEntryKeys() {
@@ -68,12 +73,8 @@
       rule{.name = "drain_end_ms",
            .target = &s::drain_end,
            .range = {0, 120000}},
-      rule{.name = "resubmit_after_ms",
-           .target = &s::resubmit_after_ms,
-           .range = kDemandMs},
-      rule{.name = "stop_grace_s",
-           .target = &s::stop_grace_s,
-           .range = kDemandS},
+      DemandRule("resubmit_after_ms", &s::resubmit_after_ms),
+      DemandRule("stop_grace_s", &s::stop_grace_s),
       PortsFileRule<s>(),
       LogRule<s>(),
   };
@@ -107,15 +108,9 @@
       rule{.name = "drain_bound_ms",
            .target = &s::drain_bound,
            .range = {0, 60000}},
-      rule{.name = "longest_lease_ms",
-           .target = &s::longest_lease_ms,
-           .range = kDemandMs},
-      rule{.name = "resubmit_after_ms",
-           .target = &s::resubmit_after_ms,
-           .range = kDemandMs},
-      rule{.name = "stop_grace_s",
-           .target = &s::stop_grace_s,
-           .range = kDemandS},
+      DemandRule("longest_lease_ms", &s::longest_lease_ms),
+      DemandRule("resubmit_after_ms", &s::resubmit_after_ms),
+      DemandRule("stop_grace_s", &s::stop_grace_s),
       PortsFileRule<s>(),
       LogRule<s>(),
   };
