Let the soak see a worker that is never used again

Guards against a worker that runs nothing after the last fault although service is back: the soak counted completed jobs only, which the other workers do.

--- a/src/soak/job_soak.cc
+++ b/src/soak/job_soak.cc
@@ -1,9 +1,12 @@
 // Runs real entries and agents beside stand-ins of the platform, injects random
 // faults from outside them, and checks what callers and workers see.
+#include <cstddef>
 #include <cstdint>
 #include <cstdio>
+#include <span>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <CLI/CLI.hpp>
 
@@ -42,6 +45,25 @@
   }
 }
 
+std::vector<std::size_t> CountRunsByWorker(deployment& system, int workers) {
+  std::vector<std::size_t> counts;
+  for (int worker = 0; worker < workers; ++worker)
+    counts.push_back(system.history().CountRunsOf(worker));
+  return counts;
+}
+
+// Once service is back, every worker takes part in it.
+void CheckWorkersUsed(deployment& system,
+                      std::span<const std::size_t> runs_before) {
+  for (std::size_t worker = 0; worker < runs_before.size(); ++worker) {
+    if (system.history().CountRunsOf(static_cast<int>(worker)) ==
+        runs_before[worker]) {
+      system.history().Violate("worker " + std::to_string(worker) +
+                               " runs nothing after the last fault");
+    }
+  }
+}
+
 int Soak(const soak_options& options) {
   auto started = deployment::Start(options.system);
   if (!started) {
@@ -56,7 +78,9 @@
     Drive(system, &disturbances, seconds(options.duration_s));
     system.Heal(monotonic_clock::now());
     Drive(system, nullptr, kRecovery);
+    const auto runs_before = CountRunsByWorker(system, options.system.agents);
     const int completed = clients.Probe(kProbes);
+    CheckWorkersUsed(system, runs_before);
     if (completed < kProbesToComplete) {
       system.history().Violate(
           "service is not back: " + std::to_string(completed) + " of " +
--- a/src/standins/run_history.cc
+++ b/src/standins/run_history.cc
@@ -14,6 +14,7 @@
   task_runs& runs = jobs_[JobOf(task)][std::string(task)];
   ++runs.begun;
   ++runs_;
+  ++runs_by_worker_[worker];
   runs.running.push_back(worker);
   if (runs.running.size() > 1) {
     violations_.push_back(
@@ -56,6 +57,12 @@
   return runs_;
 }
 
+std::size_t run_history::CountRunsOf(int worker) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = runs_by_worker_.find(worker);
+  return found == runs_by_worker_.end() ? 0 : found->second;
+}
+
 void run_history::Violate(std::string what) {
   const std::lock_guard lock(mutex_);
   violations_.push_back(std::move(what));
--- a/src/standins/run_history.h
+++ b/src/standins/run_history.h
@@ -24,6 +24,8 @@
   std::size_t CountDone(std::string_view job_key) const;
   std::size_t CountBegun(std::string_view job_key) const;
   std::size_t CountRuns() const;
+  // That the worker has begun.
+  std::size_t CountRunsOf(int worker) const;
 
   void Violate(std::string what);
   std::vector<std::string> violations() const;
@@ -40,6 +42,7 @@
   std::map<std::string, std::map<std::string, task_runs>, std::less<>>
       jobs_;  // By job key, then by task.
   std::size_t runs_ = 0;
+  std::map<int, std::size_t> runs_by_worker_;
   std::vector<std::string> violations_;
 };
 
