--- a/src/soak/job_soak.cc
+++ b/src/soak/job_soak.cc
@@ -47,6 +47,7 @@
 
 std::vector<std::size_t> CountRunsByWorker(deployment& system, int workers) {
   std::vector<std::size_t> counts;
+  counts.reserve(static_cast<std::size_t>(workers));
   for (int worker = 0; worker < workers; ++worker)
     counts.push_back(system.history().CountRunsOf(worker));
   return counts;
