Shorten an agent's own limits where callers send again sooner

Found in reading: the factor was computed from the default lease and silence, so that a longer lease in the settings stayed beyond the time after which callers send their jobs again. The test failed first.

--- a/src/scheduler/deployment_limits.cc
+++ b/src/scheduler/deployment_limits.cc
@@ -22,12 +22,12 @@
   return std::chrono::duration_cast<milliseconds>(Scale(time, factor));
 }
 
-// How much sooner than by default runs must end, so that they have ended when
-// callers send their jobs again: first the entry is missed, then the lease of
-// what it had started lapses.
-double EndFactor(const deployment_limits& limits) {
-  const supervisor_options defaults;
-  const milliseconds longest = defaults.entry_silence + defaults.lease;
+// How much sooner than by an agent's options runs must end, so that they have
+// ended when callers send their jobs again: first the entry is missed, then the
+// lease of what it had started lapses.
+double EndFactor(const deployment_limits& limits,
+                 const supervisor_options& agent) {
+  const milliseconds longest = agent.entry_silence + agent.lease;
   if (!IsDemanded(limits.resubmit_after) || limits.resubmit_after >= longest)
     return 1;
   return static_cast<double>(limits.resubmit_after.count()) /
@@ -49,7 +49,8 @@
 }
 
 void ApplyLimits(const deployment_limits& limits, scheduler_options& options) {
-  const double factor = EndFactor(limits);
+  // An entry does not know its agents' settings.
+  const double factor = EndFactor(limits, supervisor_options());
   options.agent_silence = ScaleMs(options.agent_silence, factor);
   options.runs_end_bound = ScaleMs(options.runs_end_bound, factor);
   if (!IsDemanded(limits.stop_grace))
@@ -62,7 +63,7 @@
 }
 
 void ApplyLimits(const deployment_limits& limits, supervisor_options& options) {
-  const double factor = EndFactor(limits);
+  const double factor = EndFactor(limits, options);
   options.entry_silence = ScaleMs(options.entry_silence, factor);
   options.lease = ScaleMs(options.lease, factor);
   if (IsDemanded(limits.longest_lease)) {
--- a/src/scheduler/tests/deployment_limits_test.cc
+++ b/src/scheduler/tests/deployment_limits_test.cc
@@ -30,6 +30,16 @@
   EXPECT_GT(agent.lease, agent.renew_interval);
 }
 
+// Guards against longer limits in the settings that are taken for the defaults.
+TEST(DeploymentLimits, ShortensLimitsBeyondTheDefaults) {
+  deployment_limits limits;
+  limits.resubmit_after = milliseconds(1300);
+  supervisor_options agent;
+  agent.lease = milliseconds(2000);
+  ApplyLimits(limits, agent);
+  EXPECT_LE(agent.entry_silence + agent.lease, limits.resubmit_after);
+}
+
 // Guards against leases that the worker cuts, so that it ends runs before the
 // agent renews them.
 TEST(DeploymentLimits, AsksForNoLeaseBeyondTheLongest) {
