Bound the links of an agent to eight entries

Cause: every agent sent four heartbeats a second to every entry.

Change: an agent keeps links to the eight entries with the highest rendezvous weights (scheduler/link_selection.h). Entries that do not respond on two connections are passed over, and get the agent back when they return. An entry that is left is told so by draining heartbeats before the link closes. A link without runs has one heartbeat a second; a link with runs is proved alive by its other frames, and gets a heartbeat only after 250 ms without one. An entry takes an agent without runs as silent after 2.6 s, one with runs after 0.8 s from the first dispatch on. Weights are hashed once per agent, with a mixing that spreads names which differ in few characters.

--- a/src/agent/tests/frame_batch_test.cc
+++ b/src/agent/tests/frame_batch_test.cc
@@ -18,6 +18,7 @@
                const net::tcp_address& /*address*/) override {
     reconnected.push_back(link);
   }
+  void Close(std::uint32_t /*link*/) override {}
   void Send(std::uint32_t link, std::string frame) override {
     const auto decoded =
         wire::DecodeAgentFrame(std::as_bytes(std::span(frame)));
--- a/src/include/egretrack/net/frame_link.h
+++ b/src/include/egretrack/net/frame_link.h
@@ -50,9 +50,10 @@
   // Closes the link's socket, discards its queued frames and opens a new
   // connection to the same address.
   virtual void Reconnect(std::uint32_t link) = 0;
-  // Reconnects the link to another address. If `link` equals the number of
-  // links, a new link is added.
+  // Opens the link to `address`, with a new connection if it is open already.
   virtual void Connect(std::uint32_t link, const tcp_address& address) = 0;
+  // Closes the link's connection and discards its queued frames.
+  virtual void Close(std::uint32_t link) = 0;
   // Queues a frame. Drops the frame without an error if a send queue is full.
   virtual void Send(std::uint32_t link, std::string frame) = 0;
 };
--- a/src/include/egretrack/scheduler/job_scheduler.h
+++ b/src/include/egretrack/scheduler/job_scheduler.h
@@ -161,9 +161,11 @@
   incarnation entry_incarnation{};
   std::string failure_domain;
   std::size_t max_jobs = 4096;
-  // An agent without a frame for this time, three heartbeat intervals, is
-  // silent and gets no new tasks.
+  // An agent with runs of this entry that sends no frame for this time, three
+  // heartbeat intervals, is silent and gets no new tasks.
   milliseconds agent_silence{800};
+  // The same for an agent without runs of this entry.
+  milliseconds idle_agent_silence{2600};
   // Time after the last frame to a silent agent by which all its runs have
   // ended: the agent's entry silence timeout (600 ms), then its worker lease
   // (700 ms), plus 2 % for a slow clock and the time to stop a run.
--- a/src/include/egretrack/scheduler/members.h
+++ b/src/include/egretrack/scheduler/members.h
@@ -1,6 +1,7 @@
 #ifndef EGRETRACK_SCHEDULER_MEMBERS_H_
 #define EGRETRACK_SCHEDULER_MEMBERS_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <span>
 #include <string_view>
@@ -10,6 +11,9 @@
 
 namespace egretrack::scheduler {
 
+// Number of entries that an agent keeps links to.
+inline constexpr std::size_t kLinkedEntriesPerAgent = 8;
+
 // Sorts a list of entries by id and address, and removes duplicates.
 void Normalize(std::vector<wire::entry_member>& members);
 
--- a/src/include/egretrack/scheduler/run_supervisor.h
+++ b/src/include/egretrack/scheduler/run_supervisor.h
@@ -13,6 +13,7 @@
 #include "egretrack/base/result.h"
 #include "egretrack/base/time.h"
 #include "egretrack/scheduler/decision_record.h"
+#include "egretrack/scheduler/members.h"
 #include "egretrack/wire/run_messages.h"
 
 // The agent's decisions: which tasks start on its worker, under which lease,
@@ -127,6 +128,9 @@
   entry_index entry = 0;
   std::string address;
 };
+struct close_link {
+  entry_index entry = 0;
+};
 struct send_to_entry {
   entry_index entry = 0;
   wire::agent_run_frame frame;
@@ -167,6 +171,7 @@
 struct agent_drain_finished {};
 
 using supervisor_command = std::variant<open_link,
+                                        close_link,
                                         send_to_entry,
                                         start_run,
                                         stop_run,
@@ -183,7 +188,12 @@
   std::string failure_domain;
   // Higher than the tokens of earlier incarnations.
   std::uint64_t first_fence = 1;
+  // While the entry has runs at this agent.
   milliseconds heartbeat_interval{250};
+  // While the entry has none.
+  milliseconds idle_heartbeat_interval{1000};
+  // Number of entries that the agent keeps links to and takes tasks from.
+  std::size_t max_links = kLinkedEntriesPerAgent;
   // Runs of an entry that has been silent for this time are stopped. Must be
   // well below the time after which callers resubmit their jobs to another
   // entry.
--- a/src/job_agent/job_agent_control.cc
+++ b/src/job_agent/job_agent_control.cc
@@ -173,13 +173,12 @@
 // ---- Commands -------------------------------------------------------------
 
 void job_agent_control::PerformCommands(monotonic_time now) {
-  using table =
-      event_table<scheduler::supervisor_command, &job_agent_control::OpenLink,
-                  &job_agent_control::SendToEntry, &job_agent_control::StartRun,
-                  &job_agent_control::StopRun, &job_agent_control::PollWorker,
-                  &job_agent_control::StoreWorker,
-                  &job_agent_control::LogDecision,
-                  &job_agent_control::FinishDrain>;
+  using table = event_table<
+      scheduler::supervisor_command, &job_agent_control::OpenLink,
+      &job_agent_control::CloseLink, &job_agent_control::SendToEntry,
+      &job_agent_control::StartRun, &job_agent_control::StopRun,
+      &job_agent_control::PollWorker, &job_agent_control::StoreWorker,
+      &job_agent_control::LogDecision, &job_agent_control::FinishDrain>;
   for (scheduler::supervisor_command& command : commands_)
     table::Call(*this, command, now);
   commands_.clear();
@@ -198,6 +197,11 @@
   dependencies_.entries.Connect(command.entry, *address);
 }
 
+void job_agent_control::CloseLink(scheduler::close_link& command,
+                                  monotonic_time& /*now*/) {
+  dependencies_.entries.Close(command.entry);
+}
+
 void job_agent_control::SendToEntry(scheduler::send_to_entry& command,
                                     monotonic_time& /*now*/) {
   dependencies_.entries.Send(command.entry, wire::EncodeFrame(command.frame));
--- a/src/job_agent/job_agent_control.h
+++ b/src/job_agent/job_agent_control.h
@@ -94,6 +94,7 @@
 
   // ---- Commands ----
   void OpenLink(scheduler::open_link& command, monotonic_time& now);
+  void CloseLink(scheduler::close_link& command, monotonic_time& now);
   void SendToEntry(scheduler::send_to_entry& command, monotonic_time& now);
   void StartRun(scheduler::start_run& command, monotonic_time& now);
   void StopRun(scheduler::stop_run& command, monotonic_time& now);
--- a/src/net/frame_dealer.cc
+++ b/src/net/frame_dealer.cc
@@ -1,4 +1,5 @@
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <utility>
@@ -14,7 +15,7 @@
 namespace egretrack::net {
 namespace {
 
-enum class dealer_action : std::uint8_t { kSend, kReconnect, kConnect };
+enum class dealer_action : std::uint8_t { kSend, kReconnect, kConnect, kClose };
 
 // Sending and reconnecting share one queue, so that a frame queued after
 // Reconnect() is sent on the new connection.
@@ -27,7 +28,7 @@
 
 struct dealer_link {
   tcp_address address;
-  zmq::socket_t socket;
+  std::optional<zmq::socket_t> socket;  // Unset while the link is closed.
 };
 
 zmq::socket_t OpenSocket(zmq::context_t& context, const tcp_address& address) {
@@ -61,6 +62,10 @@
     commands_.Push({dealer_action::kConnect, link, {}, address});
   }
 
+  void Close(std::uint32_t link) override {
+    commands_.Push({dealer_action::kClose, link, {}, {}});
+  }
+
   void Send(std::uint32_t link, std::string frame) override {
     const std::size_t bytes = frame.size();
     commands_.TryPush({dealer_action::kSend, link, std::move(frame), {}},
@@ -75,8 +80,10 @@
       std::vector<zmq::pollitem_t> items = MakePollItems();
       WaitForEvents(items);
       ProcessQueue();
-      for (std::uint32_t link = 0; link < links_.size(); ++link)
-        ReceiveFrames(link);
+      for (std::uint32_t link = 0; link < links_.size(); ++link) {
+        if (links_[link].socket)
+          ReceiveFrames(link);
+      }
     }
     links_.clear();
   }
@@ -85,42 +92,45 @@
   std::vector<zmq::pollitem_t> MakePollItems() {
     std::vector<zmq::pollitem_t> items;
     items.push_back({nullptr, commands_.wake_fd(), ZMQ_POLLIN, 0});
-    for (dealer_link& link : links_)
-      items.push_back({link.socket.handle(), 0, ZMQ_POLLIN, 0});
+    for (dealer_link& link : links_) {
+      if (link.socket)
+        items.push_back({link.socket->handle(), 0, ZMQ_POLLIN, 0});
+    }
     return items;
   }
 
   void ProcessQueue() {
-    static constexpr command_handler kHandlers[] = {&zmq_dealer::SendFrame,
-                                                    &zmq_dealer::ReconnectLink,
-                                                    &zmq_dealer::ConnectLink};
+    static constexpr command_handler kHandlers[] = {
+        &zmq_dealer::SendFrame, &zmq_dealer::ReconnectLink,
+        &zmq_dealer::ConnectLink, &zmq_dealer::CloseLink};
     commands_.TakeAll(batch_);
     for (const dealer_command& command : batch_) {
-      const bool appends_link = command.action == dealer_action::kConnect &&
-                                command.link == links_.size();
-      if (appends_link || command.link < links_.size())
+      if (command.action == dealer_action::kConnect &&
+          command.link >= links_.size()) {
+        links_.resize(command.link + 1);
+      }
+      if (command.link < links_.size())
         (this->*kHandlers[static_cast<std::size_t>(command.action)])(command);
     }
   }
 
-  // Drops the frame if the send queue of the socket is full.
+  // Drops the frame if the link is closed or its send queue is full.
   void SendFrame(const dealer_command& command) {
-    links_[command.link].socket.send(zmq::buffer(command.bytes),
-                                     zmq::send_flags::dontwait);
+    if (auto& socket = links_[command.link].socket)
+      socket->send(zmq::buffer(command.bytes), zmq::send_flags::dontwait);
   }
 
   void ReconnectLink(const dealer_command& command) {
     dealer_link& link = links_[command.link];
-    link.socket.close();
+    link.socket.reset();
     link.socket = OpenSocket(context_, link.address);
   }
 
+  void CloseLink(const dealer_command& command) {
+    links_[command.link].socket.reset();
+  }
+
   void ConnectLink(const dealer_command& command) {
-    if (command.link == links_.size()) {
-      links_.push_back(
-          {command.address, OpenSocket(context_, command.address)});
-      return;
-    }
     links_[command.link].address = command.address;
     ReconnectLink(command);
   }
@@ -128,7 +138,7 @@
   void ReceiveFrames(std::uint32_t link) {
     for (int count = 0; count < kFramesPerIteration; ++count) {
       std::vector<zmq::message_t> parts;
-      if (!zmq::recv_multipart(links_[link].socket, std::back_inserter(parts),
+      if (!zmq::recv_multipart(*links_[link].socket, std::back_inserter(parts),
                                zmq::recv_flags::dontwait)) {
         return;
       }
--- a/src/scheduler/entry_link.cc
+++ b/src/scheduler/entry_link.cc
@@ -11,6 +11,7 @@
 // Number of unanswered heartbeats whose send time is kept. Replies to older
 // ones arrive too late to be useful.
 constexpr std::size_t kMaxTrackedHeartbeats = 16;
+constexpr std::uint32_t kMaxUnansweredConnections = 2;
 
 }  // namespace
 
@@ -22,14 +23,22 @@
   latest_entry_time_ = {};
   dispatches_seen = 0;
   outgoing.clear();
-  next_heartbeat = now;
+  heartbeat_requested = true;
+}
+
+void entry_link::RecordUnansweredConnection() {
+  ++unanswered_connections_;
+}
+
+bool entry_link::responsive() const {
+  return unanswered_connections_ < kMaxUnansweredConnections;
 }
 
 std::uint64_t entry_link::NextHeartbeat(monotonic_time now) {
-  unanswered_heartbeats_.push_back({++last_heartbeat_, now});
+  unanswered_heartbeats_.push_back({++last_sequence_, now});
   if (unanswered_heartbeats_.size() > kMaxTrackedHeartbeats)
     unanswered_heartbeats_.pop_front();
-  return last_heartbeat_;
+  return last_sequence_;
 }
 
 bool entry_link::Observe(const wire::entry_run_frame& frame,
@@ -52,6 +61,7 @@
         });
     if (sent != unanswered_heartbeats_.end()) {
       last_exchange_ = heartbeat_exchange{sent->at, frame.entry_time};
+      unanswered_connections_ = 0;
       unanswered_heartbeats_.erase(unanswered_heartbeats_.begin(), sent + 1);
     }
   }
--- a/src/scheduler/entry_link.h
+++ b/src/scheduler/entry_link.h
@@ -13,6 +13,14 @@
 
 namespace egretrack::scheduler {
 
+enum class link_state : std::uint8_t {
+  kClosed,
+  kOpen,
+  // Heartbeats tell the entry to send no more tasks; the link closes when the
+  // entry has no runs left.
+  kLeaving,
+};
+
 // An agent's link to one entry: the current connection, an estimate of the
 // entry's clock, and the last time at which the entry is known to have been
 // alive.
@@ -24,6 +32,11 @@
   // Starts a new connection. Frames of earlier connections become stale.
   void Connect(monotonic_time now);
 
+  // Counts a connection on which the entry did not respond.
+  void RecordUnansweredConnection();
+  // False if the entry has not responded on the last two connections.
+  bool responsive() const;
+
   // Returns the sequence number of the next heartbeat and records `now` as its
   // send time.
   std::uint64_t NextHeartbeat(monotonic_time now);
@@ -49,10 +62,15 @@
   // connection.
   bool responded() const { return last_exchange_.has_value(); }
 
-  monotonic_time next_heartbeat{};
+  link_state state = link_state::kClosed;
+  monotonic_time state_since{};
+  std::uint64_t weight = 0;  // Rendezvous weight of the entry for the agent.
+  bool listed = true;        // In the last list of entries.
+  bool heartbeat_requested = false;
+  monotonic_time last_heartbeat{};
+  bool reported_settled = false;  // In the last heartbeat.
   std::uint64_t dispatches_seen = 0;
   monotonic_time last_dispatch = monotonic_time::min();
-  bool closed = false;  // The entry is no longer a member.
   std::vector<wire::agent_run_message> outgoing;
   monotonic_time last_sent{};    // Time of the last frame of any kind.
   resources last_reported_free;  // Free resources in the last frame.
@@ -74,7 +92,8 @@
   incarnation incarnation_{};
   connection_number connection_{1};
   monotonic_time connected_at_;
-  std::uint64_t last_heartbeat_ = 0;
+  std::uint64_t last_sequence_ = 0;
+  std::uint32_t unanswered_connections_ = 0;  // Consecutive.
   std::deque<sent_heartbeat> unanswered_heartbeats_;
   std::optional<heartbeat_exchange> last_exchange_;
   monotonic_time latest_entry_time_{};
--- a/src/scheduler/job_scheduler.cc
+++ b/src/scheduler/job_scheduler.cc
@@ -26,6 +26,7 @@
   const bool valid = !options.entry.empty() && options.max_jobs > 0 &&
                      options.agent_silence.count() > 0 &&
                      options.lost_run_timeout > options.agent_silence &&
+                     options.idle_agent_silence >= options.agent_silence &&
                      options.drain_bound >= options.drain_grace &&
                      options.drain_end >= options.drain_bound;
   if (!valid)
--- a/src/scheduler/job_scheduler_agents.cc
+++ b/src/scheduler/job_scheduler_agents.cc
@@ -66,6 +66,7 @@
                 .emplace(event.frame.agent,
                          std::make_unique<worker_view>(event.frame.agent))
                 .first;
+    found->second->weight = RendezvousWeight(options_.entry, event.frame.agent);
     view_list_.push_back(found->second.get());
     SelectPreferredAgents();
   }
@@ -74,10 +75,9 @@
 
 void job_scheduler_impl::SelectPreferredAgents() {
   std::vector<worker_view*> ranked = view_list_;
-  std::ranges::sort(ranked, std::greater<>(), [this](const worker_view* view) {
-    return RendezvousWeight(options_.entry, view->agent());
-  });
-  const std::size_t entries = std::max<std::size_t>(members_.size(), 1);
+  std::ranges::sort(ranked, std::greater<>(), &worker_view::weight);
+  const std::size_t entries =
+      std::clamp<std::size_t>(members_.size(), 1, kLinkedEntriesPerAgent);
   const std::size_t share =
       (kPreferredEntriesPerAgent * ranked.size() + entries - 1) / entries;
   const std::size_t count = std::max(share, kMinPreferredAgents);
@@ -108,9 +108,18 @@
     MarkRunsLost(view, false);
 }
 
+// An agent sends heartbeats more often while it has runs of this entry, from
+// the first dispatch on.
+bool job_scheduler_impl::IsSilent(const worker_view& view) const {
+  if (view.outstanding == 0)
+    return now_ - view.last_contact > options_.idle_agent_silence;
+  return now_ - std::max(view.last_contact, view.busy_since) >
+         options_.agent_silence;
+}
+
 void job_scheduler_impl::CheckAgentTimeouts() {
   for (worker_view* view : view_list_) {
-    if (!view->silent && now_ - view->last_contact > options_.agent_silence) {
+    if (!view->silent && IsSilent(*view)) {
       view->silent = true;
       RecordDecision(decision_kind::kAgentLost, "",
                      {{"agent", view->agent()},
--- a/src/scheduler/job_scheduler_dispatch.cc
+++ b/src/scheduler/job_scheduler_dispatch.cc
@@ -133,7 +133,8 @@
   --job.waiting;
   ++job.outstanding;
   ++outstanding_;
-  ++view.outstanding;
+  if (view.outstanding++ == 0)
+    view.busy_since = now_;
   ++counters_.dispatches;
   if (!job.first_dispatch)
     job.first_dispatch = now_;
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -96,6 +96,7 @@
   void OnHeartbeat(wire::agent_beat& message, worker_view& view);
   void OnReport(wire::run_report& message, worker_view& view);
   worker_view& FindOrAddView(agent_frame& event);
+  bool IsSilent(const worker_view& view) const;
   void CheckAgentTimeouts();
   // Selects the agents that this entry prefers for its dispatches.
   void SelectPreferredAgents();
--- a/src/scheduler/members.cc
+++ b/src/scheduler/members.cc
@@ -36,12 +36,15 @@
   return hash;
 }
 
-// The final mixing spreads names that differ only in their last characters.
+// The finalizer of MurmurHash3 spreads names that differ only in their last
+// characters, which FNV-1a alone does not.
 std::uint64_t RendezvousWeight(std::string_view entry, std::string_view agent) {
   std::uint64_t weight = HashField(HashField(kFnvOffsetBasis, entry), agent);
-  weight ^= weight >> 32U;
-  weight *= kFnvPrime;
-  return weight ^ (weight >> 29U);
+  weight ^= weight >> 33U;
+  weight *= 0xff51afd7ed558ccdU;
+  weight ^= weight >> 33U;
+  weight *= 0xc4ceb9fe1a85ec53U;
+  return weight ^ (weight >> 33U);
 }
 
 }  // namespace egretrack::scheduler
--- a/src/scheduler/run_supervisor.cc
+++ b/src/scheduler/run_supervisor.cc
@@ -20,12 +20,13 @@
 
 result<std::unique_ptr<run_supervisor>> run_supervisor::Create(
     supervisor_options options) {
-  const bool valid = !options.agent.empty() &&
-                     options.heartbeat_interval.count() > 0 &&
-                     options.entry_silence > options.heartbeat_interval &&
-                     options.lease > options.renew_interval &&
-                     options.max_starts_in_flight > 0 &&
-                     options.clock_drift >= 0 && options.clock_drift < 1;
+  const bool valid =
+      !options.agent.empty() && options.heartbeat_interval.count() > 0 &&
+      options.entry_silence > options.heartbeat_interval &&
+      options.idle_heartbeat_interval.count() > 0 && options.max_links > 0 &&
+      options.lease > options.renew_interval &&
+      options.max_starts_in_flight > 0 && options.clock_drift >= 0 &&
+      options.clock_drift < 1;
   if (!valid)
     return MakeError(errc::kInvalidArgument,
                      "run supervisor option out of range");
@@ -74,6 +75,8 @@
     std::vector<supervisor_command>& commands) {
   BeginCall(now, commands);
   CheckLinks();
+  if (std::exchange(links_changed_, false))
+    UpdateLinks();
   CheckWorker();
   ExpireQueuedRuns();
   SendStops();
@@ -88,10 +91,11 @@
   monotonic_time wakeup = now_ + kMaxWakeupDelay;
   const resources free = FreeResources();
   const microseconds interval = LoadReportInterval();
-  for (const entry_link& link : links_) {
-    if (link.closed)
+  for (entry_index entry = 0; entry < links_.size(); ++entry) {
+    const entry_link& link = links_[entry];
+    if (link.state == link_state::kClosed)
       continue;
-    wakeup = std::min(wakeup, link.next_heartbeat);
+    wakeup = std::min(wakeup, HeartbeatDue(entry));
     if (HasLoadChanged(link, free))
       wakeup = std::min(wakeup, link.last_sent + interval);
   }
@@ -223,9 +227,10 @@
   supervisor_gauges gauges;
   gauges.queued = runs_.CountQueued();
   gauges.running = runs_.CountAtWorker();
-  gauges.entries = static_cast<std::size_t>(std::count_if(
-      links_.begin(), links_.end(),
-      [](const entry_link& link) { return !link.closed && link.responded(); }));
+  gauges.entries = static_cast<std::size_t>(
+      std::count_if(links_.begin(), links_.end(), [](const entry_link& link) {
+        return link.state != link_state::kClosed && link.responded();
+      }));
   gauges.has_worker = worker_.has_value();
   gauges.free = FreeResources();
   return gauges;
--- a/src/scheduler/run_supervisor_impl.h
+++ b/src/scheduler/run_supervisor_impl.h
@@ -5,6 +5,7 @@
 #include <deque>
 #include <optional>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -69,11 +70,17 @@
   void OnHeartbeatReply(wire::beat_reply& message, const entry_index& entry);
   void OnDispatch(wire::run_dispatch& message, const entry_index& entry);
   void OnCancel(wire::run_cancel& message, const entry_index& entry);
-  void AddLinks(const std::vector<wire::entry_member>& members);
-  void CloseLinks(const std::vector<wire::entry_member>& members);
+  void AddLinks(std::span<const wire::entry_member> members);
+  // Opens the links to the selected entries and leaves the others.
+  void UpdateLinks();
+  void OpenLink(entry_index entry);
+  void LeaveLink(entry_index entry);
+  void CloseLink(entry_index entry);
   void Reconnect(entry_index entry);
   void DropRunsOf(entry_index entry, wire::run_reason reason);
   void CheckLinks();
+  // Time of the next heartbeat on a link that is not closed.
+  monotonic_time HeartbeatDue(entry_index entry) const;
   void SendHeartbeat(entry_index entry);
   // Makes a heartbeat to every entry due at once, to report a changed state.
   void ScheduleHeartbeats();
@@ -120,7 +127,8 @@
 
   const supervisor_options options_;
   supervisor_counters counters_;
-  std::deque<entry_link> links_;  // By entry_index.
+  std::deque<entry_link> links_;  // By entry_index; one for each known entry.
+  bool links_changed_ = false;    // UpdateLinks() must run.
   std::vector<wire::entry_member> members_;
   std::uint64_t members_hash_ = 0;
   run_table runs_;
--- a/src/scheduler/run_supervisor_links.cc
+++ b/src/scheduler/run_supervisor_links.cc
@@ -5,6 +5,7 @@
 
 #include "egretrack/base/event_table.h"
 #include "egretrack/scheduler/members.h"
+#include "scheduler/link_selection.h"
 #include "scheduler/run_supervisor_impl.h"
 
 namespace egretrack::scheduler {
@@ -14,6 +15,12 @@
 // entry to start, short enough that the first callers of a restarted entry find
 // agents.
 constexpr milliseconds kIdleLinkTimeout{900};
+// The same for a link on which the entry has responded: two idle heartbeat
+// intervals and the time for the second reply.
+constexpr milliseconds kRespondedLinkTimeout{2500};
+// Time for which an entry is told that the agent leaves it, so that one lost
+// frame does not make it wait for an agent that is gone.
+constexpr milliseconds kMinLeaveTime{1500};
 
 // An entry without a dispatch for this time gets the load in heartbeats only.
 constexpr seconds kActiveEntryWindow{1};
@@ -39,10 +46,12 @@
       reply = found;
   }
   const bool first = !link.responded();
+  const bool was_responsive = link.responsive();
   if (!link.Observe(event.frame, reply)) {
     ++counters_.stale_frames;
     return;
   }
+  links_changed_ = links_changed_ || link.responsive() != was_responsive;
   if (first && link.responded()) {
     RecordDecision(
         decision_kind::kEntryFound, "",
@@ -64,8 +73,9 @@
     members_hash_ = HashMembers(members_);
     RecordDecision(decision_kind::kMembersChanged, "",
                    {{"entries", static_cast<std::int64_t>(members_.size())}});
+    for (entry_link& link : links_)
+      link.listed = false;
     AddLinks(members_);
-    CloseLinks(members_);
   }
   if (message.reconnect)
     Reconnect(entry);
@@ -124,41 +134,79 @@
 // ---- Membership of entries ------------------------------------------------
 
 void run_supervisor_impl::AddLinks(
-    const std::vector<wire::entry_member>& members) {
+    std::span<const wire::entry_member> members) {
+  links_changed_ = true;
   for (const wire::entry_member& member : members) {
     const auto known =
-        std::find_if(links_.begin(), links_.end(), [&](const entry_link& link) {
-          return link.address() == member.address;
-        });
-    if (known == links_.end()) {
-      links_.emplace_back(member.address, now_);
-      links_.back().next_heartbeat = now_;
-    } else if (known->closed) {
-      known->closed = false;
-      known->Connect(now_);
-    } else {
+        std::ranges::find(links_, member.address, &entry_link::address);
+    if (known != links_.end()) {
+      known->listed = true;
       continue;
     }
-    const auto index = static_cast<entry_index>(
-        known == links_.end()
-            ? links_.size() - 1
-            : static_cast<std::size_t>(known - links_.begin()));
-    commands_->emplace_back(open_link{index, member.address});
+    // Seeds have no id, so the weight is that of the address.
+    links_.emplace_back(member.address, now_).weight =
+        RendezvousWeight(member.address, options_.agent);
   }
 }
 
-// Closes links to entries that are no longer listed and do not respond.
-void run_supervisor_impl::CloseLinks(
-    const std::vector<wire::entry_member>& members) {
-  for (entry_link& link : links_) {
-    const bool listed =
-        std::ranges::find(members, link.address(),
-                          &wire::entry_member::address) != members.end();
-    if (!listed && !link.responded())
-      link.closed = true;
+void run_supervisor_impl::UpdateLinks() {
+  std::vector<entry_index> indexes;
+  std::vector<link_candidate> candidates;
+  for (entry_index entry = 0; entry < links_.size(); ++entry) {
+    const entry_link& link = links_[entry];
+    // An entry that is no longer listed may be gone for good. It is kept while
+    // it responds, as the list may be an old one.
+    if (link.listed ||
+        (link.state != link_state::kClosed && link.responsive())) {
+      indexes.push_back(entry);
+      candidates.push_back({link.weight, link.responsive()});
+    } else if (link.state != link_state::kClosed) {
+      CloseLink(entry);
+    }
+  }
+  const std::vector<bool> selected =
+      SelectLinks(candidates, options_.max_links);
+  for (std::size_t position = 0; position < indexes.size(); ++position) {
+    if (selected[position])
+      OpenLink(indexes[position]);
+    else
+      LeaveLink(indexes[position]);
   }
 }
 
+void run_supervisor_impl::OpenLink(entry_index entry) {
+  entry_link& link = links_[entry];
+  if (link.state == link_state::kOpen)
+    return;
+  const bool connected = link.state == link_state::kLeaving;
+  link.state = link_state::kOpen;
+  link.state_since = now_;
+  link.heartbeat_requested = true;
+  if (connected)
+    return;
+  link.Connect(now_);
+  commands_->emplace_back(open_link{entry, link.address()});
+}
+
+void run_supervisor_impl::LeaveLink(entry_index entry) {
+  entry_link& link = links_[entry];
+  if (link.state != link_state::kOpen)
+    return;
+  if (!link.responded())
+    return CloseLink(entry);
+  link.state = link_state::kLeaving;
+  link.state_since = now_;
+  link.heartbeat_requested = true;
+}
+
+void run_supervisor_impl::CloseLink(entry_index entry) {
+  entry_link& link = links_[entry];
+  DropRunsOf(entry, wire::run_reason::kEntrySilent);
+  link.state = link_state::kClosed;
+  link.state_since = now_;
+  commands_->emplace_back(close_link{entry});
+}
+
 void run_supervisor_impl::Reconnect(entry_index entry) {
   ++counters_.reconnects;
   DropRunsOf(entry, wire::run_reason::kEntrySilent);
@@ -188,11 +236,18 @@
 void run_supervisor_impl::CheckLinks() {
   for (entry_index entry = 0; entry < links_.size(); ++entry) {
     entry_link& link = links_[entry];
-    if (link.closed)
+    if (link.state == link_state::kClosed)
       continue;
     const bool busy = runs_.HasRunsOf(entry);
-    const milliseconds timeout =
-        busy ? options_.entry_silence : kIdleLinkTimeout;
+    if (link.state == link_state::kLeaving && !busy &&
+        now_ - link.state_since > kMinLeaveTime) {
+      CloseLink(entry);
+      continue;
+    }
+    milliseconds timeout =
+        link.responded() ? kRespondedLinkTimeout : kIdleLinkTimeout;
+    if (busy)
+      timeout = options_.entry_silence;
     const microseconds silence = now_ - link.last_known_alive();
     if (silence <= timeout)
       continue;
@@ -202,7 +257,12 @@
                       {"silence_us", silence.count()},
                       {"had_runs", std::int64_t{busy ? 1 : 0}}});
     }
-    Reconnect(entry);
+    link.RecordUnansweredConnection();
+    links_changed_ = true;
+    if (link.state == link_state::kLeaving)
+      CloseLink(entry);
+    else
+      Reconnect(entry);
   }
 }
 
@@ -247,15 +307,36 @@
     heartbeat.worker.push_back(
         {report.id, report.desk, report.labels, report.capacity});
   }
-  heartbeat.draining = draining_ || (worker_ && worker_->draining);
+  heartbeat.draining = draining_ || (worker_ && worker_->draining) ||
+                       link.state == link_state::kLeaving;
   heartbeat.settled = IsSettled(entry);
+  link.reported_settled = heartbeat.settled;
   link.outgoing.emplace_back(std::move(heartbeat));
-  link.next_heartbeat = now_ + options_.heartbeat_interval;
+  link.heartbeat_requested = false;
+  link.last_heartbeat = now_;
+}
+
+// While frames of both sides prove that they are alive, a link with runs needs
+// heartbeats only to relate the clocks.
+monotonic_time run_supervisor_impl::HeartbeatDue(entry_index entry) const {
+  const entry_link& link = links_[entry];
+  if (link.heartbeat_requested)
+    return now_;
+  const monotonic_time idle_due =
+      link.last_heartbeat + options_.idle_heartbeat_interval;
+  // The entry waits to hear that the runs of the earlier connection have ended.
+  if (!link.reported_settled)
+    return link.last_heartbeat + options_.heartbeat_interval;
+  if (!runs_.HasRunsOf(entry))
+    return idle_due;
+  const monotonic_time last_proof = std::max(
+      link.last_heartbeat, std::min(link.last_known_alive(), link.last_sent));
+  return std::min(idle_due, last_proof + options_.heartbeat_interval);
 }
 
 void run_supervisor_impl::ScheduleHeartbeats() {
   for (entry_link& link : links_)
-    link.next_heartbeat = now_;
+    link.heartbeat_requested = true;
 }
 
 bool run_supervisor_impl::IsActive(const entry_link& link) const {
@@ -289,9 +370,9 @@
   std::optional<wire::worker_load> load;  // Same for all links.
   for (entry_index entry = 0; entry < links_.size(); ++entry) {
     entry_link& link = links_[entry];
-    if (link.closed)
+    if (link.state == link_state::kClosed)
       continue;
-    if (now_ >= link.next_heartbeat)
+    if (now_ >= HeartbeatDue(entry))
       SendHeartbeat(entry);
     const bool changed =
         now_ >= link.last_sent + interval && HasLoadChanged(link, free);
--- a/src/scheduler/tests/job_scheduler_test.cc
+++ b/src/scheduler/tests/job_scheduler_test.cc
@@ -137,6 +137,21 @@
   EXPECT_EQ(driver_.AnswerFor(3)->state, job_state::kCompleted);
 }
 
+// Guards against frequent heartbeats of hundreds of agents that have no runs of
+// this entry: they are usable with one heartbeat a second.
+TEST_F(JobScheduler, UsesAnIdleAgentWithRareHeartbeats) {
+  driver_.AdvanceTime(milliseconds(1900));
+  EXPECT_EQ(driver_.core->gauges().agents_usable, 2U);
+  driver_.Handle(scheduler_driver::MakeJob(1, "j"));
+  const auto dispatched = driver_.TakeDispatched();
+  ASSERT_EQ(dispatched.size(), 1U);
+  driver_.AdvanceTime(milliseconds(700));
+  EXPECT_EQ(driver_.core->gauges().agents_usable, 2U);
+  // With a run, the agent is silent after three heartbeat intervals.
+  driver_.AdvanceTime(milliseconds(150));
+  EXPECT_EQ(driver_.core->gauges().agents_usable, 0U);
+}
+
 // Guards against overlapping runs of one task: the runs of a silent agent may
 // continue until lost_run_timeout has passed.
 TEST_F(JobScheduler, RedispatchesAfterTheLostRunTimeoutOfASilentAgent) {
--- a/src/scheduler/worker_view.h
+++ b/src/scheduler/worker_view.h
@@ -52,8 +52,11 @@
   std::optional<wire::worker_facts> worker;
   bool draining = false;
   monotonic_time last_contact{};
-  monotonic_time last_sent{};  // Last frame to the agent, in any session.
+  monotonic_time busy_since{};  // First of the outstanding dispatches.
+  monotonic_time last_sent{};   // Last frame to the agent, in any session.
   bool silent = false;
+  // Rendezvous weight of the agent for this entry.
+  std::uint64_t weight = 0;
   bool preferred = true;  // One of this entry's preferred agents.
   // Time by which all outstanding runs of earlier sessions have ended; unset if
   // there are none.
