--- a/src/job_agent/job_agent_control.cc
+++ b/src/job_agent/job_agent_control.cc
@@ -6,6 +6,7 @@
 #include "egretrack/base/event_table.h"
 #include "egretrack/telemetry/process_usage.h"
 #include "egretrack/wire/run_codec.h"
+#include "platform/entry_rows.h"
 #include "platform/worker_api.h"
 
 namespace egretrack::job_agent {
@@ -73,8 +74,19 @@
   entries_loaded_ = true;
   next_entries_read_ = now + kEntriesRefreshInterval;
   scheduler::entries_discovered found;
-  for (platform::store_row& row : event.page->rows)
-    found.members.push_back({std::move(row.key), std::move(row.value)});
+  for (const platform::store_row& row : event.page->rows) {
+    if (auto member = platform::DecodeEntryRow(row))
+      found.members.push_back(std::move(*member));
+    else
+      event.page->invalid_rows.push_back({row.key, member.error().ToString()});
+  }
+  for (const platform::invalid_row& row : event.page->invalid_rows) {
+    LogEvent("store_row_invalid", true,
+             {{"table", std::string(platform::kEntriesTable)},
+              {"key", row.key},
+              {"reason", row.reason}},
+             now);
+  }
   core_->Handle(std::move(found), now, commands_);
 }
 
--- a/src/job_entry/job_entry_control.cc
+++ b/src/job_entry/job_entry_control.cc
@@ -8,6 +8,7 @@
 #include "egretrack/telemetry/process_usage.h"
 #include "egretrack/wire/run_codec.h"
 #include "platform/configuration.h"
+#include "platform/entry_rows.h"
 #include "platform/job_api.h"
 
 namespace egretrack::job_entry {
@@ -126,6 +127,7 @@
       configuration_table_.HandleRead(std::move(event.read), now);
   if (!change)
     return;
+  LogInvalidRows(platform::kOperatorTable, change->invalid_rows, now);
   for (const platform::store_row& row : change->rows) {
     if (row.key == platform::kConfigurationKey && !row.removed)
       AdoptConfiguration(row.value, "store", now);
@@ -135,16 +137,15 @@
 void job_entry_control::OnMembersRead(members_read& event,
                                       monotonic_time& now) {
   const auto change = members_table_.HandleRead(std::move(event.read), now);
-  if (!change || (change->rows.empty() && !change->full_snapshot))
+  if (!change)
+    return;
+  LogInvalidRows(platform::kEntriesTable, change->invalid_rows, now);
+  if (change->rows.empty() && !change->full_snapshot)
     return;
   if (change->full_snapshot)
     members_.clear();
-  for (const platform::store_row& row : change->rows) {
-    if (row.removed)
-      members_.erase(row.key);
-    else
-      members_[row.key] = {row.key, row.value};
-  }
+  for (const platform::store_row& row : change->rows)
+    ApplyMemberRow(row, now);
   members_[dependencies_.self.id] = dependencies_.self;
   scheduler::members_received update;
   for (const auto& [key, member] : members_)
@@ -152,6 +153,36 @@
   core_->Handle(std::move(update), now, commands_);
 }
 
+// An invalid row leaves the entry at its last valid address.
+void job_entry_control::ApplyMemberRow(const platform::store_row& row,
+                                       monotonic_time now) {
+  if (row.removed) {
+    members_.erase(row.key);
+    return;
+  }
+  auto member = platform::DecodeEntryRow(row);
+  if (member) {
+    members_[row.key] = std::move(*member);
+    return;
+  }
+  const platform::invalid_row invalid{row.key, member.error().ToString()};
+  LogInvalidRows(platform::kEntriesTable, {&invalid, 1}, now);
+}
+
+void job_entry_control::LogInvalidRows(
+    std::string_view table,
+    std::span<const platform::invalid_row> rows,
+    monotonic_time now) {
+  invalid_rows_ += rows.size();
+  for (const platform::invalid_row& row : rows) {
+    LogEvent("store_row_invalid", true,
+             {{"table", std::string(table)},
+              {"key", row.key},
+              {"reason", row.reason}},
+             now);
+  }
+}
+
 void job_entry_control::OnSeedsChanged(seeds_changed& event,
                                        monotonic_time& now) {
   LogEvent("settings_reloaded", false,
@@ -419,6 +450,7 @@
   count("egretrack_bad_requests_total", dependencies_.traffic.bad_requests);
   count("egretrack_dropped_requests_total",
         dependencies_.traffic.dropped_requests);
+  count("egretrack_store_rows_invalid_total", invalid_rows_);
   count("egretrack_log_lines_left_out_total", log_.suppressed());
   for (const auto& [labels, value] : job_outcome_counts_)
     metrics_->SetCounter("egretrack_jobs_ended_total", labels, value);
--- a/src/job_entry/job_entry_control.h
+++ b/src/job_entry/job_entry_control.h
@@ -122,6 +122,10 @@
   void TrackStoreAvailability(monotonic_time now);
   std::vector<std::string> PeerHosts() const;
 
+  void ApplyMemberRow(const platform::store_row& row, monotonic_time now);
+  void LogInvalidRows(std::string_view table,
+                      std::span<const platform::invalid_row> rows,
+                      monotonic_time now);
   void OpenFront(monotonic_time now);
 
   // ---- Commands ----
@@ -151,6 +155,7 @@
   table_follower configuration_table_;
   table_follower members_table_;
   std::map<std::string, wire::entry_member> members_;  // By row key.
+  std::uint64_t invalid_rows_ = 0;  // Rows of the store that were left out.
   std::optional<std::uint64_t> config_version_;
   std::string config_document_;
   bool registered_ = false;
--- a/src/job_entry/table_follower.cc
+++ b/src/job_entry/table_follower.cc
@@ -57,22 +57,25 @@
   if (watching_) {
     version_ = std::max(version_, page.version);
     change.rows = std::move(page.rows);
+    change.invalid_rows = std::move(page.invalid_rows);
     return change;
   }
   // After a full read of several pages the watch starts at the version of the
   // first page, so that no change between two pages is missed.
-  if (partial_rows_.empty() && next_key_.empty())
+  if (next_key_.empty())
     version_ = page.version;
   std::ranges::move(page.rows, std::back_inserter(partial_rows_));
-  if (page.more && !partial_rows_.empty()) {
+  std::ranges::move(page.invalid_rows, std::back_inserter(invalid_rows_));
+  if (page.more && !page.last_key.empty()) {
     // A range includes its first key, so the next one starts at the smallest
     // greater key.
-    next_key_ = partial_rows_.back().key + '\0';
+    next_key_ = page.last_key + '\0';
     return std::nullopt;
   }
   watching_ = true;
   next_key_.clear();
   change.rows = std::exchange(partial_rows_, {});
+  change.invalid_rows = std::exchange(invalid_rows_, {});
   change.full_snapshot = true;
   return change;
 }
@@ -87,6 +90,7 @@
     return;
   }
   partial_rows_.clear();
+  invalid_rows_.clear();
   next_key_.clear();
   backoff_ = std::clamp(2 * backoff_, kMinBackoff, kMaxBackoff);
   next_call_ = now + backoff_;
--- a/src/job_entry/table_follower.h
+++ b/src/job_entry/table_follower.h
@@ -16,6 +16,7 @@
 // Rows that changed, or all rows of the table.
 struct table_change {
   std::vector<platform::store_row> rows;
+  std::vector<platform::invalid_row> invalid_rows;
   bool full_snapshot = false;
 };
 
@@ -63,6 +64,7 @@
   std::uint64_t version_ = 0;
   std::string next_key_;  // First key of the next page of a full read.
   std::vector<platform::store_row> partial_rows_;
+  std::vector<platform::invalid_row> invalid_rows_;  // Of the pages so far.
   monotonic_time next_call_{};
   milliseconds backoff_{0};
   std::optional<monotonic_time> failing_since_;
--- a/src/net/frame_dealer.cc
+++ b/src/net/frame_dealer.cc
@@ -31,11 +31,16 @@
   std::optional<zmq::socket_t> socket;  // Unset while the link is closed.
 };
 
-zmq::socket_t OpenSocket(zmq::context_t& context, const tcp_address& address) {
-  zmq::socket_t socket(context, zmq::socket_type::dealer);
-  SetSocketOptions(socket, address);
-  socket.connect(ZmqEndpoint(address));
-  return socket;
+result<zmq::socket_t> OpenSocket(zmq::context_t& context,
+                                 const tcp_address& address) {
+  try {
+    zmq::socket_t socket(context, zmq::socket_type::dealer);
+    SetSocketOptions(socket, address);
+    socket.connect(ZmqEndpoint(address));
+    return socket;
+  } catch (const zmq::error_t& failure) {
+    return MakeZmqError(failure, address);
+  }
 }
 
 class zmq_dealer final : public frame_dealer {
@@ -123,7 +128,10 @@
   void ReconnectLink(const dealer_command& command) {
     dealer_link& link = links_[command.link];
     link.socket.reset();
-    link.socket = OpenSocket(context_, link.address);
+    // The link of an address that cannot be connected to stays closed; its user
+    // gets no reply and tries again.
+    if (auto socket = OpenSocket(context_, link.address))
+      link.socket = std::move(*socket);
   }
 
   void CloseLink(const dealer_command& command) {
@@ -163,11 +171,10 @@
   zmq::context_t context;
   std::vector<dealer_link> links;
   for (const tcp_address& address : addresses) {
-    try {
-      links.push_back({address, OpenSocket(context, address)});
-    } catch (const zmq::error_t& failure) {
-      return MakeZmqError(failure, address);
-    }
+    auto socket = OpenSocket(context, address);
+    if (!socket)
+      return socket.error();
+    links.push_back({address, std::move(*socket)});
   }
   return std::make_unique<zmq_dealer>(std::move(context), std::move(links),
                                       std::move(on_frame));
--- a/src/net/tests/frame_link_test.cc
+++ b/src/net/tests/frame_link_test.cc
@@ -112,6 +112,21 @@
   EXPECT_EQ(pair.at_dealer.Wait(0).text, "to the new connection");
 }
 
+// Guards against a process that ends because one entry in a list of addresses
+// has a port that nothing can connect to.
+TEST(FrameLink, SurvivesAnAddressThatCannotBeConnectedTo) {
+  linked_pair pair;
+  pair.dealer->Connect(1, {"127.0.0.1", 0});
+  pair.dealer->Send(1, "to nobody");
+  pair.dealer->Connect(3, pair.router->local_address());
+  pair.dealer->Send(3, "still here");
+  EXPECT_EQ(pair.at_router.Wait(0).text, "still here");
+  pair.dealer->Close(3);
+  pair.dealer->Send(3, "to a closed link");
+  pair.dealer->Send(0, "last");
+  EXPECT_EQ(pair.at_router.Wait(1).text, "last");
+}
+
 // Guards against a port scan or a client of another protocol that stops the
 // router or breaks a link.
 TEST(FrameLink, SurvivesInvalidHandshakes) {
