Take workers that refuse starts as slower, not as failing

Cause: a start that a worker refuses costs a dispatch, but counted as a failure. With two fifths of the workers shedding half of their load at a crest, entries ejected and readmitted workers 300 times in 12 s and left their free resources unused while the other workers were full.

Change: the share of refused starts is tracked per worker (scheduler/refusal_rate.h). It adds the expected time lost to refusals to the predicted wait, fades within seconds, and does not eject. Failed, stalled and unanswered runs count as before.

IsUsedWhenTheOthersAreFull fails without the change. NewWorkerTakesItsShareAtOnce passes before and after.

--- a/src/scheduler/job_scheduler_agents.cc
+++ b/src/scheduler/job_scheduler_agents.cc
@@ -102,6 +102,7 @@
   if (worker && view.worker && worker->id != view.worker->id) {
     run_times_.ResetWorker(view.agent());
     view.health = {};
+    view.refusals = {};
   }
   view.worker = std::move(worker);
   if (message.settled && view.previous_runs_end)
@@ -204,6 +205,7 @@
   scheduled_task& done = job.tasks[task];
   worker_view& view = *done.agent;
   EndDispatch(job, task);
+  view.refusals.RecordStart(now_);
   run_times_.Observe(job.kind->name, view.machine_class(), view.agent(),
                      job.steps[done.step].estimate, report.ran);
   if (view.health.ejected())
@@ -256,6 +258,7 @@
                   {"agent", view.agent()},
                   {"ran_us", report.ran.count()}});
   EndDispatch(job, task);
+  view.refusals.RecordStart(now_);
   AttributeFailure(view, failed);
   job.may_have_run = true;
   failed.avoided_agent = &view;
@@ -278,10 +281,9 @@
                   {"queued_us", report.queued.count()}});
   EndDispatch(job, task);
   returned.avoided_agent = &view;
-  const bool is_worker_fault =
-      report.reason == wire::run_reason::kWorkerRefused ||
-      report.reason == wire::run_reason::kUnanswered;
-  if (is_worker_fault)
+  if (report.reason == wire::run_reason::kWorkerRefused)
+    view.refusals.RecordRefusal(now_);
+  if (report.reason == wire::run_reason::kUnanswered)
     AttributeFailure(view, returned);
   else
     view.health.AbandonTrial();
--- a/src/scheduler/job_scheduler_dispatch.cc
+++ b/src/scheduler/job_scheduler_dispatch.cc
@@ -85,7 +85,8 @@
     placement_candidate candidate;
     candidate.view_index = index;
     candidate.run = PredictRunTime(view, job, step);
-    candidate.wait = view.PredictWait(step.spec.need, candidate.run);
+    candidate.wait = view.PredictWait(step.spec.need, candidate.run) +
+                     view.refusals.ExpectedDelay(now_);
     candidate.preferred = view.preferred;
     candidate.same_domain = view.failure_domain == options_.failure_domain;
     candidate.free_cpu_milli = view.FreeResources().cpu_milli;
--- a/src/scheduler/worker_view.h
+++ b/src/scheduler/worker_view.h
@@ -13,6 +13,7 @@
 #include "egretrack/base/time.h"
 #include "egretrack/decision/entry_core.h"
 #include "egretrack/wire/run_messages.h"
+#include "scheduler/refusal_rate.h"
 #include "scheduler/worker_health.h"
 
 namespace egretrack::scheduler {
@@ -62,6 +63,7 @@
   // there are none.
   std::optional<monotonic_time> previous_runs_end;
   worker_health health;
+  refusal_rate refusals;
   std::uint32_t outstanding = 0;
   std::vector<wire::entry_run_message> outgoing;
 
