Put invalid rows of another writer into the soak's store

Cause: decoders of odd rows had unit tests only; nothing showed that whole processes go on beside such rows.

Change: the soak's store holds invalid rows in the tables of entries, workers and the operator from the start, also under the keys of the agents' own rows.

--- a/src/soak/deployment.cc
+++ b/src/soak/deployment.cc
@@ -80,6 +80,7 @@
   PublishConfiguration();
   if (auto written = WriteSettings(); !written)
     return written;
+  PutInvalidRows();
   for (int number = 0; number < options_.agent_count; ++number)
     StartWorker(number);
   for (auto* group : {&entries_, &agents_}) {
@@ -179,6 +180,28 @@
   workers_[index].reset();
 }
 
+// Another writer's rows must neither end a process nor hide the valid rows.
+void deployment::PutInvalidRows() {
+  constexpr std::size_t kDepth = 10'000;
+  const std::string nested =
+      std::string(kDepth, '[') + std::string(kDepth, ']');
+  const std::string values[] = {
+      "127.0.0.1:0", "127.0.0.1:65536", "127.0.0.1:-1", "entry:7720", "",
+      nested};
+  int number = 0;
+  for (const std::string& value : values) {
+    const std::string key = "invalid-" + std::to_string(++number);
+    store_->Put(platform::kEntriesTable, key, value);
+    store_->Put(platform::kWorkersTable, key, value);
+    store_->Put(platform::kOperatorTable, key, value);
+  }
+  for (const auto table : {platform::kEntriesTable, platform::kWorkersTable,
+                           platform::kOperatorTable})
+    store_->PutUnencoded(table, "aaa-no-base64", "*");
+  for (const daemon& agent : agents_)
+    store_->Put(platform::kWorkersTable, agent.name, nested);
+}
+
 void deployment::PublishConfiguration() {
   ++config_version_;
   const milliseconds deadline =
--- a/src/soak/deployment.h
+++ b/src/soak/deployment.h
@@ -88,6 +88,7 @@
   explicit deployment(deployment_options options);
   result<void> StartComponents();
   result<void> WriteSettings();
+  void PutInvalidRows();
   result<void> Launch(daemon& target);
   void ReadPortFiles();
 
