--- a/src/scheduler/run_supervisor_links.cc
+++ b/src/scheduler/run_supervisor_links.cc
@@ -11,13 +11,13 @@
 namespace egretrack::scheduler {
 namespace {
 
-// A link without runs is reconnected after this silence. Long enough for an
+// A link without a reply is reconnected after this time. Long enough for an
 // entry to start, short enough that the first callers of a restarted entry find
 // agents.
-constexpr milliseconds kIdleLinkTimeout{900};
-// The same for a link on which the entry has responded: two idle heartbeat
+constexpr milliseconds kFirstReplyTimeout{900};
+// A link without runs is reconnected after this silence: two idle heartbeat
 // intervals and the time for the second reply.
-constexpr milliseconds kRespondedLinkTimeout{2500};
+constexpr milliseconds kIdleLinkTimeout{2500};
 // Time for which an entry is told that the agent leaves it, so that one lost
 // frame does not make it wait for an agent that is gone.
 constexpr milliseconds kMinLeaveTime{1500};
@@ -245,7 +245,7 @@
       continue;
     }
     milliseconds timeout =
-        link.responded() ? kRespondedLinkTimeout : kIdleLinkTimeout;
+        link.responded() ? kIdleLinkTimeout : kFirstReplyTimeout;
     if (busy)
       timeout = options_.entry_silence;
     const microseconds silence = now_ - link.last_known_alive();
