--- a/src/scheduler/run_supervisor_impl.h
+++ b/src/scheduler/run_supervisor_impl.h
@@ -66,19 +66,10 @@
                       std::string_view job,
                       std::vector<event_field> fields);
 
-  // ---- run_supervisor_links.cc: entries ------------------------------------
+  // ---- run_supervisor_links.cc: frames and heartbeats -----------------------
   void OnHeartbeatReply(wire::beat_reply& message, const entry_index& entry);
   void OnDispatch(wire::run_dispatch& message, const entry_index& entry);
   void OnCancel(wire::run_cancel& message, const entry_index& entry);
-  void AddLinks(std::span<const wire::entry_member> members);
-  // Opens the links to the selected entries and leaves the others.
-  void UpdateLinks();
-  void OpenLink(entry_index entry);
-  void LeaveLink(entry_index entry);
-  void CloseLink(entry_index entry);
-  void Reconnect(entry_index entry);
-  void DropRunsOf(entry_index entry, wire::run_reason reason);
-  void CheckLinks();
   // Time of the next heartbeat on a link that is not closed.
   monotonic_time HeartbeatDue(entry_index entry) const;
   void SendHeartbeat(entry_index entry);
@@ -100,6 +91,17 @@
                     wire::run_end end,
                     wire::run_reason reason);
 
+  // ---- run_supervisor_membership.cc: which entries have links --------------
+  void AddLinks(std::span<const wire::entry_member> members);
+  // Opens the links to the selected entries and leaves the others.
+  void UpdateLinks();
+  void OpenLink(entry_index entry);
+  void LeaveLink(entry_index entry);
+  void CloseLink(entry_index entry);
+  void Reconnect(entry_index entry);
+  void DropRunsOf(entry_index entry, wire::run_reason reason);
+  void CheckLinks();
+
   // ---- run_supervisor_worker.cc: starts, stops, worker incarnations --------
   void StartRuns();
   void SendStart(agent_run& run);
