--- a/src/include/egretrack/net/frame_link.h
+++ b/src/include/egretrack/net/frame_link.h
@@ -54,7 +54,8 @@
   virtual void Connect(std::uint32_t link, const tcp_address& address) = 0;
   // Closes the link's connection and discards its queued frames.
   virtual void Close(std::uint32_t link) = 0;
-  // Queues a frame. Drops the frame without an error if a send queue is full.
+  // Queues a frame. Drops the frame without an error if the link is closed or a
+  // send queue is full.
   virtual void Send(std::uint32_t link, std::string frame) = 0;
 };
 
--- a/src/include/egretrack/net/http.h
+++ b/src/include/egretrack/net/http.h
@@ -80,6 +80,8 @@
 
   // Accepts "127.0.0.1:80" and "[::1]:80".
   static result<tcp_address> Parse(std::string_view text);
+  // As Parse(), but the port must be 1 or more.
+  static result<tcp_address> ParseRemote(std::string_view text);
   std::string ToString() const;
 };
 
--- a/src/include/egretrack/scheduler/run_supervisor.h
+++ b/src/include/egretrack/scheduler/run_supervisor.h
@@ -13,7 +13,6 @@
 #include "egretrack/base/result.h"
 #include "egretrack/base/time.h"
 #include "egretrack/scheduler/decision_record.h"
-#include "egretrack/scheduler/members.h"
 #include "egretrack/wire/run_messages.h"
 
 // The agent's decisions: which tasks start on its worker, under which lease,
@@ -192,8 +191,6 @@
   milliseconds heartbeat_interval{250};
   // While the entry has none.
   milliseconds idle_heartbeat_interval{1000};
-  // Number of entries that the agent keeps links to and takes tasks from.
-  std::size_t max_links = kLinkedEntriesPerAgent;
   // Runs of an entry that has been silent for this time are stopped. Must be
   // well below the time after which callers resubmit their jobs to another
   // entry.
--- a/src/job_agent/job_agent_control.cc
+++ b/src/job_agent/job_agent_control.cc
@@ -82,10 +82,7 @@
   }
   for (const platform::invalid_row& row : event.page->invalid_rows) {
     LogEvent("store_row_invalid", true,
-             {{"table", std::string(platform::kEntriesTable)},
-              {"key", row.key},
-              {"reason", row.reason}},
-             now);
+             platform::EventFields(platform::kEntriesTable, row), now);
   }
   core_->Handle(std::move(found), now, commands_);
 }
--- a/src/job_entry/job_entry_control.cc
+++ b/src/job_entry/job_entry_control.cc
@@ -175,11 +175,7 @@
     monotonic_time now) {
   invalid_rows_ += rows.size();
   for (const platform::invalid_row& row : rows) {
-    LogEvent("store_row_invalid", true,
-             {{"table", std::string(table)},
-              {"key", row.key},
-              {"reason", row.reason}},
-             now);
+    LogEvent("store_row_invalid", true, platform::EventFields(table, row), now);
   }
 }
 
--- a/src/job_entry/table_follower.cc
+++ b/src/job_entry/table_follower.cc
@@ -53,19 +53,18 @@
   backoff_ = milliseconds(0);
   next_call_ = now;
   platform::store_page& page = *outcome.page;
-  table_change change;
   if (watching_) {
     version_ = std::max(version_, page.version);
-    change.rows = std::move(page.rows);
-    change.invalid_rows = std::move(page.invalid_rows);
-    return change;
+    return table_change{std::move(page.rows), std::move(page.invalid_rows),
+                        false};
   }
   // After a full read of several pages the watch starts at the version of the
   // first page, so that no change between two pages is missed.
   if (next_key_.empty())
     version_ = page.version;
-  std::ranges::move(page.rows, std::back_inserter(partial_rows_));
-  std::ranges::move(page.invalid_rows, std::back_inserter(invalid_rows_));
+  std::ranges::move(page.rows, std::back_inserter(snapshot_.rows));
+  std::ranges::move(page.invalid_rows,
+                    std::back_inserter(snapshot_.invalid_rows));
   if (page.more && !page.last_key.empty()) {
     // A range includes its first key, so the next one starts at the smallest
     // greater key.
@@ -74,10 +73,8 @@
   }
   watching_ = true;
   next_key_.clear();
-  change.rows = std::exchange(partial_rows_, {});
-  change.invalid_rows = std::exchange(invalid_rows_, {});
-  change.full_snapshot = true;
-  return change;
+  snapshot_.full_snapshot = true;
+  return std::exchange(snapshot_, {});
 }
 
 void table_follower::HandleFailure(const error& failure, monotonic_time now) {
@@ -89,8 +86,7 @@
     next_call_ = now;
     return;
   }
-  partial_rows_.clear();
-  invalid_rows_.clear();
+  snapshot_ = {};
   next_key_.clear();
   backoff_ = std::clamp(2 * backoff_, kMinBackoff, kMaxBackoff);
   next_call_ = now + backoff_;
--- a/src/job_entry/table_follower.h
+++ b/src/job_entry/table_follower.h
@@ -62,9 +62,8 @@
   bool watching_ = false;  // False during a full read.
   bool in_flight_ = false;
   std::uint64_t version_ = 0;
-  std::string next_key_;  // First key of the next page of a full read.
-  std::vector<platform::store_row> partial_rows_;
-  std::vector<platform::invalid_row> invalid_rows_;  // Of the pages so far.
+  std::string next_key_;   // First key of the next page of a full read.
+  table_change snapshot_;  // The pages of a full read so far.
   monotonic_time next_call_{};
   milliseconds backoff_{0};
   std::optional<monotonic_time> failing_since_;
--- a/src/net/tcp_address.cc
+++ b/src/net/tcp_address.cc
@@ -40,6 +40,14 @@
   return address;
 }
 
+result<tcp_address> tcp_address::ParseRemote(std::string_view text) {
+  auto address = Parse(text);
+  if (address && address->port == 0)
+    return MakeError(errc::kInvalidArgument,
+                     "port of address \"" + std::string(text) + "\"");
+  return address;
+}
+
 std::string tcp_address::ToString() const {
   const bool bracketed = host.find(':') != std::string::npos;
   const std::string shown_host = bracketed ? "[" + host + "]" : host;
--- a/src/scheduler/entry_link.h
+++ b/src/scheduler/entry_link.h
@@ -63,7 +63,7 @@
   bool responded() const { return last_exchange_.has_value(); }
 
   link_state state = link_state::kClosed;
-  monotonic_time state_since{};
+  monotonic_time leaving_since{};  // In state kLeaving.
   std::uint64_t weight = 0;  // Rendezvous weight of the entry for the agent.
   bool listed = true;        // In the last list of entries.
   bool heartbeat_requested = false;
--- a/src/scheduler/run_supervisor.cc
+++ b/src/scheduler/run_supervisor.cc
@@ -20,13 +20,13 @@
 
 result<std::unique_ptr<run_supervisor>> run_supervisor::Create(
     supervisor_options options) {
-  const bool valid =
-      !options.agent.empty() && options.heartbeat_interval.count() > 0 &&
-      options.entry_silence > options.heartbeat_interval &&
-      options.idle_heartbeat_interval.count() > 0 && options.max_links > 0 &&
-      options.lease > options.renew_interval &&
-      options.max_starts_in_flight > 0 && options.clock_drift >= 0 &&
-      options.clock_drift < 1;
+  const bool valid = !options.agent.empty() &&
+                     options.heartbeat_interval.count() > 0 &&
+                     options.entry_silence > options.heartbeat_interval &&
+                     options.idle_heartbeat_interval.count() > 0 &&
+                     options.lease > options.renew_interval &&
+                     options.max_starts_in_flight > 0 &&
+                     options.clock_drift >= 0 && options.clock_drift < 1;
   if (!valid)
     return MakeError(errc::kInvalidArgument,
                      "run supervisor option out of range");
--- a/src/scheduler/run_supervisor_impl.h
+++ b/src/scheduler/run_supervisor_impl.h
@@ -96,6 +96,7 @@
   // Opens the links to the selected entries and leaves the others.
   void UpdateLinks();
   void OpenLink(entry_index entry);
+  void Connect(entry_index entry);
   void LeaveLink(entry_index entry);
   void CloseLink(entry_index entry);
   void Reconnect(entry_index entry);
@@ -129,10 +130,9 @@
 
   const supervisor_options options_;
   supervisor_counters counters_;
-  std::deque<entry_link> links_;  // By entry_index; one for each known entry.
-  bool links_changed_ = false;    // UpdateLinks() must run.
-  std::vector<wire::entry_member> members_;
-  std::uint64_t members_hash_ = 0;
+  std::deque<entry_link> links_;    // By entry_index; one for each known entry.
+  bool links_changed_ = false;      // UpdateLinks() must run.
+  std::uint64_t members_hash_ = 0;  // Of the last list of entries.
   run_table runs_;
   std::optional<worker_state> worker_;
   worker_lease lease_;
--- a/src/scheduler/run_supervisor_links.cc
+++ b/src/scheduler/run_supervisor_links.cc
@@ -57,13 +57,13 @@
                                            const entry_index& entry) {
   if (!message.members.empty() && message.members_hash != members_hash_) {
     Normalize(message.members);
-    members_ = std::move(message.members);
-    members_hash_ = HashMembers(members_);
-    RecordDecision(decision_kind::kMembersChanged, "",
-                   {{"entries", static_cast<std::int64_t>(members_.size())}});
+    members_hash_ = HashMembers(message.members);
+    RecordDecision(
+        decision_kind::kMembersChanged, "",
+        {{"entries", static_cast<std::int64_t>(message.members.size())}});
     for (entry_link& link : links_)
       link.listed = false;
-    AddLinks(members_);
+    AddLinks(message.members);
   }
   if (message.reconnect)
     Reconnect(entry);
@@ -175,11 +175,11 @@
   const entry_link& link = links_[entry];
   if (link.heartbeat_requested)
     return now_;
-  const monotonic_time idle_due =
-      link.last_heartbeat + options_.idle_heartbeat_interval;
   // The entry waits to hear that the runs of the earlier connection have ended.
   if (!link.reported_settled)
     return link.last_heartbeat + options_.heartbeat_interval;
+  const monotonic_time idle_due =
+      link.last_heartbeat + options_.idle_heartbeat_interval;
   if (!runs_.HasRunsOf(entry))
     return idle_due;
   const monotonic_time last_proof = std::max(
--- a/src/scheduler/run_supervisor_membership.cc
+++ b/src/scheduler/run_supervisor_membership.cc
@@ -55,7 +55,7 @@
     }
   }
   const std::vector<bool> selected =
-      SelectLinks(candidates, options_.max_links);
+      SelectLinks(candidates, kLinkedEntriesPerAgent);
   for (std::size_t position = 0; position < indexes.size(); ++position) {
     if (selected[position])
       OpenLink(indexes[position]);
@@ -68,14 +68,16 @@
   entry_link& link = links_[entry];
   if (link.state == link_state::kOpen)
     return;
-  const bool connected = link.state == link_state::kLeaving;
+  if (link.state == link_state::kLeaving)
+    link.heartbeat_requested = true;
+  else
+    Connect(entry);
   link.state = link_state::kOpen;
-  link.state_since = now_;
-  link.heartbeat_requested = true;
-  if (connected)
-    return;
-  link.Connect(now_);
-  commands_->emplace_back(open_link{entry, link.address()});
+}
+
+void run_supervisor_impl::Connect(entry_index entry) {
+  links_[entry].Connect(now_);
+  commands_->emplace_back(open_link{entry, links_[entry].address()});
 }
 
 void run_supervisor_impl::LeaveLink(entry_index entry) {
@@ -85,24 +87,20 @@
   if (!link.responded())
     return CloseLink(entry);
   link.state = link_state::kLeaving;
-  link.state_since = now_;
+  link.leaving_since = now_;
   link.heartbeat_requested = true;
 }
 
 void run_supervisor_impl::CloseLink(entry_index entry) {
-  entry_link& link = links_[entry];
   DropRunsOf(entry, wire::run_reason::kEntrySilent);
-  link.state = link_state::kClosed;
-  link.state_since = now_;
+  links_[entry].state = link_state::kClosed;
   commands_->emplace_back(close_link{entry});
 }
 
 void run_supervisor_impl::Reconnect(entry_index entry) {
   ++counters_.reconnects;
   DropRunsOf(entry, wire::run_reason::kEntrySilent);
-  entry_link& link = links_[entry];
-  link.Connect(now_);
-  commands_->emplace_back(open_link{entry, link.address()});
+  Connect(entry);
 }
 
 // These runs are not reported one by one. The entry learns of their end from
@@ -130,7 +128,7 @@
       continue;
     const bool busy = runs_.HasRunsOf(entry);
     if (link.state == link_state::kLeaving && !busy &&
-        now_ - link.state_since > kMinLeaveTime) {
+        now_ - link.leaving_since > kMinLeaveTime) {
       CloseLink(entry);
       continue;
     }
--- a/src/scheduler/tests/link_selection_test.cc
+++ b/src/scheduler/tests/link_selection_test.cc
@@ -1,6 +1,7 @@
 #include "scheduler/link_selection.h"
 
 #include <algorithm>
+#include <iterator>
 #include <set>
 #include <string>
 #include <vector>
@@ -65,7 +66,19 @@
     }
   }
 
+  // The entries that replace the first ones after these have become silent.
+  std::set<entry_index> ReplaceFirstLinks() {
+    Run(seconds(3));
+    first_ = OpenLinks();
+    Run(seconds(8), first_);
+    std::set<entry_index> added;
+    std::ranges::set_difference(OpenLinks(), first_,
+                                std::inserter(added, added.end()));
+    return added;
+  }
+
   supervisor_driver driver_;
+  std::set<entry_index> first_;
   std::uint64_t report_ = 1;
 };
 
@@ -83,27 +96,16 @@
 // Guards against an agent that serves nobody because the entries that it has
 // links to are gone.
 TEST_F(AgentAmongManyEntries, ReplacesEntriesThatDoNotRespond) {
-  Run(seconds(3));
-  const std::set<entry_index> first = OpenLinks();
-  Run(seconds(8), first);
-  std::set<entry_index> added;
-  std::ranges::set_difference(OpenLinks(), first,
-                              std::inserter(added, added.end()));
-  EXPECT_EQ(added.size(), kLinkedEntriesPerAgent);
+  EXPECT_EQ(ReplaceFirstLinks().size(), kLinkedEntriesPerAgent);
   // The first entries return and get the agent back.
   Run(seconds(8));
-  EXPECT_EQ(OpenLinks(), first);
+  EXPECT_EQ(OpenLinks(), first_);
 }
 
 // Guards against an entry that sends tasks to an agent that has left it, which
 // would be lost.
 TEST_F(AgentAmongManyEntries, TellsAnEntryBeforeItLeaves) {
-  Run(seconds(3));
-  const std::set<entry_index> first = OpenLinks();
-  Run(seconds(8), first);
-  std::set<entry_index> added;
-  std::ranges::set_difference(OpenLinks(), first,
-                              std::inserter(added, added.end()));
+  const std::set<entry_index> added = ReplaceFirstLinks();
   ASSERT_FALSE(added.empty());
   const entry_index left = *added.begin();
   EXPECT_FALSE(driver_.LastHeartbeat(left)->draining);
