--- /dev/null
+++ b/review/standins/deployment.h
@@ -0,0 +1,89 @@
+#ifndef EGRETRACK_REVIEW_DEPLOYMENT_H_
+#define EGRETRACK_REVIEW_DEPLOYMENT_H_
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "egretrack/net/http.h"
+#include "platform/standins/row_store.h"
+#include "review/standins/record.h"
+#include "review/standins/worker.h"
+#include "standins/child_process.h"
+
+namespace egretrack::review {
+
+inline constexpr const char* kService = "banco-turni";
+inline constexpr const char* kHost = "desk.example";
+inline constexpr const char* kPrefix = "/riassegna/";
+
+// What one attempt of a client saw.
+struct attempt_result {
+  unsigned status = 0;  // 0: no response, or a broken connection.
+  std::string body;
+};
+
+// A small deployment on loopback addresses: the project's entries and agents
+// as processes, started with the settings of deploy/*.toml; the store, the
+// workers and the clients are stand-ins. All machines use the same ports.
+class deployment {
+ public:
+  // Reads the driver's arguments: PROGRAM WORK_FOLDER RECORD.
+  static std::unique_ptr<deployment> Create(int argc, char** argv);
+  ~deployment();
+
+  record& log() { return *record_; }
+
+  // Starts the store and writes the first configuration.
+  bool StartPlatform();
+  void PutConfiguration(std::int64_t version, std::int64_t timeout_ms);
+  // Number of entries that are in the store's list is not limited; entry
+  // numbers and agent numbers start at 1.
+  bool StartEntry(int number);
+  bool StartAgent(int number);
+  void SignalEntry(int number, int signal);
+  void SignalAgent(int number, int signal);
+  // Default options of the worker beside agent `number`.
+  worker_options WorkerOptions(int number) const;
+  // Waits until the entry reports itself ready.
+  bool WaitUntilReady(int entry, milliseconds timeout);
+  // Address of an entry for another program, e.g. to set up a relay.
+  std::string EntryIp(int number) const;
+  std::string AgentIp(int number) const;
+
+  // Sends a job of one step once and waits for the answer.
+  attempt_result Submit(int entry,
+                        const std::string& job,
+                        int tasks,
+                        int run_ms,
+                        milliseconds deadline,
+                        int cpu = 1600);
+
+ private:
+  deployment() = default;
+  std::string EntrySettings(int number) const;
+  std::string AgentSettings(int number) const;
+  std::string Seeds() const;
+  bool StartProcess(const std::string& name, const std::string& settings);
+
+  std::string program_;
+  std::string folder_;
+  std::unique_ptr<record> record_;
+  std::unique_ptr<standins::row_store> store_;
+  std::string network_;  // First two bytes of all machines' addresses.
+  std::uint16_t ports_ = 0;
+  std::map<std::string, standins::child_process> processes_;
+};
+
+// True unless the environment says TROUBLE=0.
+bool Trouble();
+void SleepFor(milliseconds time);
+
+}  // namespace egretrack::review
+
+#endif  // EGRETRACK_REVIEW_DEPLOYMENT_H_
