--- a/review/1/driver.cc
+++ b/review/1/driver.cc
@@ -13,7 +13,6 @@
 
 constexpr int kBroken = 1;
 constexpr int kCouldNotRun = 2;
-constexpr int kWorkers = 3;
 constexpr milliseconds kRestartDelay{100};
 constexpr milliseconds kResend{1300};  // resend_ms
 constexpr int kRunMs = 3000;
@@ -25,31 +24,21 @@
 
 int main(int argc, char** argv) {
   const auto system = deployment::Create(argc, argv);
-  if (!system || !system->StartPlatform())
-    return kCouldNotRun;
-  bool started = system->StartEntry(1) && system->StartEntry(2);
   std::vector<std::unique_ptr<worker>> workers;
-  for (int number = 1; number <= kWorkers; ++number) {
-    started = started && system->StartAgent(number);
-    workers.push_back(
-        worker::Start(system->WorkerOptions(number), system->log()));
-    started = started && workers.back() != nullptr;
-  }
-  if (!started || !system->WaitUntilReady(1, seconds(10)) ||
-      !system->WaitUntilReady(2, seconds(10)))
+  if (!system || !system->StartAll(workers))
     return kCouldNotRun;
-  SleepFor(seconds(2));
 
   const std::string job = "5c0e7a21d94b36f8";
   attempt_result answer;
   std::thread client([&] {
-    answer = system->Submit(1, job, 4, kRunMs, kDeadline);
+    answer = system->Submit({1, job, 4, kRunMs, kDeadline});
     if (answer.status != 0 && answer.status != 502 && answer.status != 504)
       return;
     SleepFor(kResend);
-    answer = system->Submit(2, job, 4, kRunMs, kDeadline);
+    answer = system->Submit({2, job, 4, kRunMs, kDeadline});
   });
   SleepFor(milliseconds(500));
+  bool started = true;
   if (Trouble()) {
     system->SignalEntry(1, SIGKILL);
     SleepFor(kRestartDelay);
--- a/review/2/driver.cc
+++ b/review/2/driver.cc
@@ -15,8 +15,7 @@
 
 constexpr int kBroken = 1;
 constexpr int kCouldNotRun = 2;
-constexpr int kWorkers = 3;
-constexpr int kJobs = 24;  // In each of the two groups.
+constexpr int kJobs = 60;  // In each of the two groups.
 constexpr milliseconds kRestartDelay{100};
 constexpr milliseconds kResend{1300};  // resend_ms
 constexpr int kFirstRunMs = 1500;
@@ -50,20 +49,9 @@
 
 int main(int argc, char** argv) {
   const auto system = deployment::Create(argc, argv);
-  if (!system || !system->StartPlatform())
-    return kCouldNotRun;
-  bool started = system->StartEntry(1) && system->StartEntry(2);
   std::vector<std::unique_ptr<worker>> workers;
-  for (int number = 1; number <= kWorkers; ++number) {
-    started = started && system->StartAgent(number);
-    workers.push_back(
-        worker::Start(system->WorkerOptions(number), system->log()));
-    started = started && workers.back() != nullptr;
-  }
-  if (!started || !system->WaitUntilReady(1, seconds(10)) ||
-      !system->WaitUntilReady(2, seconds(10)))
+  if (!system || !system->StartAll(workers))
     return kCouldNotRun;
-  SleepFor(seconds(2));
 
   std::mutex mutex;
   std::vector<answer> answers;
@@ -71,10 +59,10 @@
   const auto run_client = [&](char group, int number, int run_ms) {
     const std::string job = JobId(group, number);
     const int cpu = Cpu(group, number);
-    attempt_result got = system->Submit(1, job, 1, run_ms, kDeadline, cpu);
+    attempt_result got = system->Submit({1, job, 1, run_ms, kDeadline, cpu});
     if (got.status == 0 || got.status == 502 || got.status == 504) {
       SleepFor(kResend);
-      got = system->Submit(2, job, 1, run_ms, kDeadline, cpu);
+      got = system->Submit({2, job, 1, run_ms, kDeadline, cpu});
     }
     const bool completed =
         got.status == 200 && got.body.find("completed") != std::string::npos;
@@ -84,6 +72,7 @@
   for (int number = 0; number < kJobs; ++number)
     clients.emplace_back(run_client, 'a', number, kFirstRunMs);
   SleepFor(milliseconds(300));
+  bool started = true;
   if (Trouble()) {
     system->SignalEntry(1, SIGKILL);
     SleepFor(kRestartDelay);
--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -1,6 +1,7 @@
 #include "review/standins/deployment.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/in.h>
 #include <poll.h>
 #include <sys/socket.h>
@@ -24,7 +25,10 @@
 
 namespace json = boost::json;
 
-constexpr int kSeedCount = 2;
+constexpr int kSeedCount = 3;
+// Of the entries, and of the agents in turn.
+constexpr const char* kZones[] = {"palermo", "catania", "messina", "siracusa"};
+constexpr int kZoneCount = 4;
 // Offsets from the first port, the same on every machine.
 constexpr int kAgentsPort = 0;
 constexpr int kInternalPort = 1;
@@ -33,6 +37,16 @@
 constexpr int kControlPort = 4;
 constexpr int kWorkerPort = 5;
 
+std::string ZoneOf(int number) {
+  return kZones[(number - 1) % kZoneCount];
+}
+
+// Such as "front-palermo-1".
+std::string NodeName(const std::string& machine_class, int number) {
+  return machine_class + "-" + ZoneOf(number) + "-" +
+         std::to_string((number - 1) / kZoneCount + 1);
+}
+
 bool IsFree(const std::string& host, std::uint16_t port) {
   return net::http_server::Listen({host, port}, 1, {},
                                   [](const net::http_exchange_ptr&) {})
@@ -84,6 +98,15 @@
   return result;
 }
 
+// A started process must not inherit the sockets of the stand-ins: a worker
+// that has crashed would seem to listen still.
+void CloseOnExec() {
+  constexpr int kFirst = 3;
+  constexpr int kLast = 1024;
+  for (int fd = kFirst; fd < kLast; ++fd)
+    fcntl(fd, F_SETFD, FD_CLOEXEC);
+}
+
 }  // namespace
 
 bool Trouble() {
@@ -203,9 +226,9 @@
   const auto at = [&](int offset) {
     return "\"" + ip + ":" + std::to_string(ports_ + offset) + "\"\n";
   };
-  return "role = \"job_agent\"\n\n[job_agent]\nid = \"side-palermo-" +
-         std::to_string(number) +
-         "\"\nfailure_domain = \"palermo\"\nreports = " + at(kControlPort) +
+  return "role = \"job_agent\"\n\n[job_agent]\nid = \"" +
+         NodeName("side", number) + "\"\nfailure_domain = \"" + ZoneOf(number) +
+         "\"\nreports = " + at(kControlPort) +
          "internal = " + at(kInternalPort) +
          "entry_port = " + std::to_string(ports_ + kAgentsPort) +
          "\nstore = \"" + store_->address().ToString() +
@@ -223,6 +246,7 @@
   const auto old = processes_.find(name);
   if (old != processes_.end())
     processes_.erase(old);
+  CloseOnExec();
   auto started =
       standins::child_process::Start(program_, arguments, output, output);
   if (!started)
@@ -257,7 +281,7 @@
   options.name = "w" + std::to_string(number);
   options.id = "i-" + std::to_string(number);
   options.service = kService;
-  options.zone = "palermo";
+  options.zone = ZoneOf(number);
   options.address = {AgentIp(number),
                      static_cast<std::uint16_t>(ports_ + kWorkerPort)};
   options.agent = {AgentIp(number),
@@ -268,6 +292,29 @@
   return options;
 }
 
+bool deployment::StartAll(
+    std::vector<std::unique_ptr<worker>>& workers,
+    const std::function<void(int, worker_options&)>& change) {
+  bool started = StartPlatform();
+  for (int number = 1; number <= kEntries; ++number)
+    started = started && StartEntry(number);
+  workers.resize(kWorkers + 1);
+  for (int number = 1; number <= kWorkers; ++number) {
+    started = started && StartAgent(number);
+    worker_options options = WorkerOptions(number);
+    if (change)
+      change(number, options);
+    auto& place = workers[static_cast<std::size_t>(number)];
+    place = worker::Start(options, *record_);
+    started = started && place != nullptr;
+  }
+  for (int number = 1; number <= kEntries; ++number)
+    started = started && WaitUntilReady(number, seconds(10));
+  if (started)
+    SleepFor(seconds(2));
+  return started;
+}
+
 bool deployment::WaitUntilReady(int entry, milliseconds timeout) {
   const auto client = net::http_client::Create({});
   const monotonic_time deadline = monotonic_clock::now() + timeout;
@@ -287,38 +334,49 @@
   return false;
 }
 
-attempt_result deployment::Submit(int entry,
-                                  const std::string& job,
-                                  int tasks,
-                                  int run_ms,
-                                  milliseconds deadline,
-                                  int cpu) {
-  const std::string spec =
-      json::serialize(json::object{{"ms", run_ms}, {"cpu", cpu}, {"job", job}});
+attempt_result deployment::Submit(const submission& job) {
+  const std::string spec = json::serialize(
+      json::object{{"ms", job.run_ms}, {"cpu", job.cpu}, {"job", job.job}});
+  json::object step{{"count", job.tasks},
+                    {"cpu", job.cpu},
+                    {"mem_mb", 64},
+                    {"estimate_ms", job.run_ms}};
+  if (!job.required_label.empty())
+    step["required_label"] = job.required_label;
   const std::string body = json::serialize(json::object{
-      {"spec", spec},
-      {"best_effort", true},
-      {"steps", json::array{json::object{{"count", tasks},
-                                         {"cpu", cpu},
-                                         {"mem_mb", 64},
-                                         {"estimate_ms", run_ms}}}}});
+      {"spec", spec}, {"best_effort", true}, {"steps", json::array{step}}});
+  const std::string deadline = std::to_string(job.deadline.count());
   const std::string request =
-      "POST " + (kPrefix + job) + " HTTP/1.1\r\nHost: " + kHost +
-      "\r\nContent-Type: application/json\r\nX-Deadline-Ms: " +
-      std::to_string(deadline.count()) +
+      "POST " + (kPrefix + job.job) + " HTTP/1.1\r\nHost: " + kHost +
+      "\r\nContent-Type: application/json\r\nX-Deadline-Ms: " + deadline +
       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  record_->Note("client sends job " + job + " to entry-" +
-                std::to_string(entry) + ", " + std::to_string(tasks) +
-                " task(s) of " + std::to_string(run_ms) + " ms, deadline " +
-                std::to_string(deadline.count()) + " ms");
-  const attempt_result result =
-      Exchange(EntryIp(entry), static_cast<std::uint16_t>(ports_ + kFrontPort),
-               request, deadline);
+  record_->Note(
+      "client sends job " + job.job + " to entry-" + std::to_string(job.entry) +
+      ", " + std::to_string(job.tasks) + " task(s) of " +
+      std::to_string(job.run_ms) + " ms, deadline " + deadline + " ms" +
+      (job.required_label.empty() ? ""
+                                  : ", required_label " + job.required_label));
+  const attempt_result result = Exchange(
+      EntryIp(job.entry), static_cast<std::uint16_t>(ports_ + kFrontPort),
+      request, job.deadline);
   record_->Note("client gets " +
                 (result.status == 0
                      ? std::string("no response")
                      : std::to_string(result.status) + " " + result.body) +
-                " for job " + job);
+                " for job " + job.job);
+  return result;
+}
+
+attempt_result deployment::Cancel(int entry, const std::string& job) {
+  const std::string request =
+      "DELETE " + (kPrefix + job) + " HTTP/1.1\r\nHost: " + kHost + "\r\n\r\n";
+  record_->Note("client cancels job " + job + " at entry-" +
+                std::to_string(entry));
+  const attempt_result result =
+      Exchange(EntryIp(entry), static_cast<std::uint16_t>(ports_ + kFrontPort),
+               request, seconds(2));
+  record_->Note("client gets " + std::to_string(result.status) + " " +
+                result.body + " for the cancelling of job " + job);
   return result;
 }
 
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -19,6 +19,8 @@
 namespace egretrack::review {
 
 inline constexpr const char* kService = "banco-turni";
+inline constexpr int kEntries = 4;
+inline constexpr int kWorkers = 11;
 inline constexpr const char* kHost = "desk.example";
 inline constexpr const char* kPrefix = "/riassegna/";
 
@@ -28,6 +30,17 @@
   std::string body;
 };
 
+// One attempt of a client to hand in a job of one step.
+struct submission {
+  int entry = 1;
+  std::string job;  // 16 hexadecimal digits.
+  int tasks = 1;
+  int run_ms = 100;
+  milliseconds deadline{1500};
+  int cpu = 1600;
+  std::string required_label = {};
+};
+
 // A small deployment on loopback addresses: the project's entries and agents
 // as processes, started with the settings of deploy/*.toml; the store, the
 // workers and the clients are stand-ins. All machines use the same ports.
@@ -42,14 +55,18 @@
   // Starts the store and writes the first configuration.
   bool StartPlatform();
   void PutConfiguration(std::int64_t version, std::int64_t timeout_ms);
-  // Number of entries that are in the store's list is not limited; entry
-  // numbers and agent numbers start at 1.
+  // Entry and agent numbers start at 1.
   bool StartEntry(int number);
   bool StartAgent(int number);
   void SignalEntry(int number, int signal);
   void SignalAgent(int number, int signal);
   // Default options of the worker beside agent `number`.
   worker_options WorkerOptions(int number) const;
+  // Starts the platform, all entries and agents, and waits until the entries
+  // are ready. `change` may alter the options of the worker that is started
+  // beside each agent.
+  bool StartAll(std::vector<std::unique_ptr<worker>>& workers,
+                const std::function<void(int, worker_options&)>& change = {});
   // Waits until the entry reports itself ready.
   bool WaitUntilReady(int entry, milliseconds timeout);
   // Address of an entry for another program, e.g. to set up a relay.
@@ -57,12 +74,9 @@
   std::string AgentIp(int number) const;
 
   // Sends a job of one step once and waits for the answer.
-  attempt_result Submit(int entry,
-                        const std::string& job,
-                        int tasks,
-                        int run_ms,
-                        milliseconds deadline,
-                        int cpu = 1600);
+  attempt_result Submit(const submission& job);
+  // Cancels the job at an entry.
+  attempt_result Cancel(int entry, const std::string& job);
 
  private:
   deployment() = default;
