--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -337,25 +337,28 @@
 attempt_result deployment::Submit(const submission& job) {
   const std::string spec = json::serialize(
       json::object{{"ms", job.run_ms}, {"cpu", job.cpu}, {"job", job.job}});
-  json::object step{{"count", job.tasks},
-                    {"cpu", job.cpu},
-                    {"mem_mb", 64},
-                    {"estimate_ms", job.run_ms}};
-  if (!job.required_label.empty())
-    step["required_label"] = job.required_label;
+  json::array steps;
+  for (int number = 0; number < job.steps; ++number) {
+    json::object step{{"count", job.tasks},
+                      {"cpu", job.cpu},
+                      {"mem_mb", 64},
+                      {"estimate_ms", job.run_ms}};
+    if (number > 0)
+      step["after"] = json::array{number - 1};
+    steps.push_back(std::move(step));
+  }
   const std::string body = json::serialize(json::object{
-      {"spec", spec}, {"best_effort", true}, {"steps", json::array{step}}});
+      {"spec", spec}, {"best_effort", true}, {"steps", std::move(steps)}});
   const std::string deadline = std::to_string(job.deadline.count());
   const std::string request =
       "POST " + (kPrefix + job.job) + " HTTP/1.1\r\nHost: " + kHost +
       "\r\nContent-Type: application/json\r\nX-Deadline-Ms: " + deadline +
       "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
-  record_->Note(
-      "client sends job " + job.job + " to entry-" + std::to_string(job.entry) +
-      ", " + std::to_string(job.tasks) + " task(s) of " +
-      std::to_string(job.run_ms) + " ms, deadline " + deadline + " ms" +
-      (job.required_label.empty() ? ""
-                                  : ", required_label " + job.required_label));
+  record_->Note("client sends job " + job.job + " to entry-" +
+                std::to_string(job.entry) + ", " + std::to_string(job.steps) +
+                " step(s) of " + std::to_string(job.tasks) + " task(s) of " +
+                std::to_string(job.run_ms) + " ms, deadline " + deadline +
+                " ms");
   const attempt_result result = Exchange(
       EntryIp(job.entry), static_cast<std::uint16_t>(ports_ + kFrontPort),
       request, job.deadline);
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -30,7 +30,7 @@
   std::string body;
 };
 
-// One attempt of a client to hand in a job of one step.
+// One attempt of a client to hand in a job whose steps follow one another.
 struct submission {
   int entry = 1;
   std::string job;  // 16 hexadecimal digits.
@@ -38,7 +38,7 @@
   int run_ms = 100;
   milliseconds deadline{1500};
   int cpu = 1600;
-  std::string required_label = {};
+  int steps = 1;  // Each with `tasks` tasks.
 };
 
 // A small deployment on loopback addresses: the project's entries and agents
@@ -73,7 +73,7 @@
   std::string EntryIp(int number) const;
   std::string AgentIp(int number) const;
 
-  // Sends a job of one step once and waits for the answer.
+  // Sends a job once and waits for the answer.
   attempt_result Submit(const submission& job);
   // Cancels the job at an entry.
   attempt_result Cancel(int entry, const std::string& job);
