--- a/review/standins/deployment.cc
+++ b/review/standins/deployment.cc
@@ -9,7 +9,6 @@
 
 #include <csignal>
 #include <cstdlib>
-#include <filesystem>
 #include <fstream>
 #include <iostream>
 #include <random>
@@ -270,12 +269,6 @@
   processes_.at("entry-" + std::to_string(number)).Signal(signal);
 }
 
-void deployment::SignalAgent(int number, int signal) {
-  record_->Note("signal " + std::to_string(signal) + " to agent-" +
-                std::to_string(number));
-  processes_.at("agent-" + std::to_string(number)).Signal(signal);
-}
-
 worker_options deployment::WorkerOptions(int number) const {
   worker_options options;
   options.name = "w" + std::to_string(number);
--- a/review/standins/deployment.h
+++ b/review/standins/deployment.h
@@ -1,12 +1,9 @@
 #ifndef EGRETRACK_REVIEW_DEPLOYMENT_H_
 #define EGRETRACK_REVIEW_DEPLOYMENT_H_
 
-#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
-#include <mutex>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -52,14 +49,9 @@
 
   record& log() { return *record_; }
 
-  // Starts the store and writes the first configuration.
-  bool StartPlatform();
-  void PutConfiguration(std::int64_t version, std::int64_t timeout_ms);
   // Entry and agent numbers start at 1.
   bool StartEntry(int number);
-  bool StartAgent(int number);
   void SignalEntry(int number, int signal);
-  void SignalAgent(int number, int signal);
   // Default options of the worker beside agent `number`.
   worker_options WorkerOptions(int number) const;
   // Starts the platform, all entries and agents, and waits until the entries
@@ -69,10 +61,6 @@
                 const std::function<void(int, worker_options&)>& change = {});
   // Waits until the entry reports itself ready.
   bool WaitUntilReady(int entry, milliseconds timeout);
-  // Address of an entry for another program, e.g. to set up a relay.
-  std::string EntryIp(int number) const;
-  std::string AgentIp(int number) const;
-
   // Sends a job once and waits for the answer.
   attempt_result Submit(const submission& job);
   // Cancels the job at an entry.
@@ -80,6 +68,11 @@
 
  private:
   deployment() = default;
+  std::string EntryIp(int number) const;
+  std::string AgentIp(int number) const;
+  void PutConfiguration(std::int64_t version, std::int64_t timeout_ms);
+  bool StartPlatform();
+  bool StartAgent(int number);
   std::string EntrySettings(int number) const;
   std::string AgentSettings(int number) const;
   std::string Seeds() const;
--- a/review/standins/worker.cc
+++ b/review/standins/worker.cc
@@ -70,11 +70,6 @@
   client_.reset();
 }
 
-std::size_t worker::running_count() {
-  const std::lock_guard lock(mutex_);
-  return running_.size();
-}
-
 std::int64_t worker::ClockMs() const {
   return std::chrono::duration_cast<milliseconds>(monotonic_clock::now() -
                                                   born_at_)
--- a/review/standins/worker.h
+++ b/review/standins/worker.h
@@ -38,9 +38,6 @@
   worker(const worker&) = delete;
   worker& operator=(const worker&) = delete;
 
-  // Number of its runs that have not ended.
-  std::size_t running_count();
-
  private:
   struct task_run {
     std::int64_t number = 0;
