Stop the runs of an entry process when its successor answers

Cause: an agent gave up the runs of an entry only when it was silent for 600 ms or when the agent opened a new connection. The transport reconnects by itself, so the new process answers on the connection of the old one. entry_link::Observe() saw the other incarnation and only dropped the relation of the clocks.

Change: a connection belongs to the entry process that first answers on it. A frame of another process is not applied, whatever it holds (a reply with a list of entries, a dispatch, a cancellation); the agent stops the runs of the earlier process, drops its queued tasks and connects anew. It works because the runs are stopped as soon as the new process is heard, and by the silence timeout if it is not, both before callers send again.

--- a/src/include/egretrack/scheduler/decision_record.h
+++ b/src/include/egretrack/scheduler/decision_record.h
@@ -46,6 +46,7 @@
   kLeaseLapsed,
   kEntryFound,
   kEntrySilent,
+  kEntryRestarted,
   kFenceRaised,
   kCount,
 };
--- a/src/scheduler/decision_record.cc
+++ b/src/scheduler/decision_record.cc
@@ -45,6 +45,7 @@
                 {"lease_lapsed", true},
                 {"entry_found", false},
                 {"entry_silent", true},
+                {"entry_restarted", true},
                 {"fence_raised", false}}};
 
 }  // namespace
--- a/src/scheduler/entry_link.cc
+++ b/src/scheduler/entry_link.cc
@@ -18,6 +18,7 @@
 void entry_link::Connect(monotonic_time now) {
   connection_ = connection_number{static_cast<std::uint64_t>(connection_) + 1};
   connected_at_ = now;
+  incarnation_.reset();
   unanswered_heartbeats_.clear();
   last_exchange_.reset();
   latest_entry_time_ = {};
@@ -41,18 +42,18 @@
   return last_sequence_;
 }
 
-bool entry_link::Observe(const wire::entry_run_frame& frame,
-                         const wire::beat_reply* reply) {
+frame_origin entry_link::Observe(const wire::entry_run_frame& frame,
+                                 const wire::beat_reply* reply) {
   if (frame.connection != connection_)
-    return false;
-  const bool entry_changed =
-      frame.entry != entry_ || frame.entry_incarnation != incarnation_;
-  if (entry_changed) {
-    last_exchange_.reset();
-    latest_entry_time_ = {};
-    entry_ = frame.entry;
-    incarnation_ = frame.entry_incarnation;
+    return frame_origin::kOldConnection;
+  // A restarted process learns the connection number from the agent's frames,
+  // as the transport reconnects on its own.
+  if (incarnation_ &&
+      (frame.entry != entry_ || frame.entry_incarnation != *incarnation_)) {
+    return frame_origin::kOtherProcess;
   }
+  entry_ = frame.entry;
+  incarnation_ = frame.entry_incarnation;
   if (reply != nullptr) {
     const auto sent = std::find_if(
         unanswered_heartbeats_.begin(), unanswered_heartbeats_.end(),
@@ -66,7 +67,7 @@
     }
   }
   latest_entry_time_ = std::max(latest_entry_time_, frame.entry_time);
-  return true;
+  return frame_origin::kCurrent;
 }
 
 // By the entry's clock, a frame made at time D was made D - S after the reply
--- a/src/scheduler/entry_link.h
+++ b/src/scheduler/entry_link.h
@@ -21,9 +21,18 @@
   kLeaving,
 };
 
+// What a frame from an entry says about the link that it arrived on.
+enum class frame_origin : std::uint8_t {
+  kCurrent,  // The entry process of the current connection.
+  kOldConnection,
+  // Another entry process than the one that answered on this connection before:
+  // the entry has restarted.
+  kOtherProcess,
+};
+
 // An agent's link to one entry: the current connection, an estimate of the
 // entry's clock, and the last time at which the entry is known to have been
-// alive.
+// alive. A connection belongs to the entry process that first answers on it.
 class entry_link {
  public:
   entry_link(std::string address, monotonic_time now)
@@ -41,10 +50,10 @@
   // send time.
   std::uint64_t NextHeartbeat(monotonic_time now);
 
-  // Returns false for a frame of another connection. `reply` is the heartbeat
-  // reply in the frame, or nullptr.
-  bool Observe(const wire::entry_run_frame& frame,
-               const wire::beat_reply* reply);
+  // Applies a frame of the current process and ignores any other. `reply` is
+  // the heartbeat reply in the frame, or nullptr.
+  frame_origin Observe(const wire::entry_run_frame& frame,
+                       const wire::beat_reply* reply);
 
   // The latest local time at which the entry is known to have been alive.
   // Before the first reply, the time at which the connection was started.
@@ -58,8 +67,7 @@
   const std::string& address() const { return address_; }
   const std::string& entry() const { return entry_; }
   connection_number connection() const { return connection_; }
-  // True once the current entry process has answered a heartbeat on this
-  // connection.
+  // True once the entry has answered a heartbeat on this connection.
   bool responded() const { return last_exchange_.has_value(); }
 
   link_state state = link_state::kClosed;
@@ -89,7 +97,8 @@
 
   const std::string address_;
   std::string entry_;
-  incarnation incarnation_{};
+  // Of the process that answered on this connection.
+  std::optional<incarnation> incarnation_;
   connection_number connection_{1};
   monotonic_time connected_at_;
   std::uint64_t last_sequence_ = 0;
--- a/src/scheduler/run_supervisor_impl.h
+++ b/src/scheduler/run_supervisor_impl.h
@@ -100,6 +100,7 @@
   void LeaveLink(entry_index entry);
   void CloseLink(entry_index entry);
   void Reconnect(entry_index entry);
+  void OnEntryRestarted(entry_index entry);
   void DropRunsOf(entry_index entry, wire::run_reason reason);
   void CheckLinks();
 
--- a/src/scheduler/run_supervisor_links.cc
+++ b/src/scheduler/run_supervisor_links.cc
@@ -35,8 +35,11 @@
   }
   const bool first = !link.responded();
   const bool was_responsive = link.responsive();
-  if (!link.Observe(event.frame, reply)) {
+  const frame_origin origin = link.Observe(event.frame, reply);
+  if (origin != frame_origin::kCurrent) {
     ++counters_.stale_frames;
+    if (origin == frame_origin::kOtherProcess)
+      OnEntryRestarted(event.entry);
     return;
   }
   links_changed_ = links_changed_ || link.responsive() != was_responsive;
--- a/src/scheduler/run_supervisor_membership.cc
+++ b/src/scheduler/run_supervisor_membership.cc
@@ -103,6 +103,16 @@
   Connect(entry);
 }
 
+// Nobody waits for the runs of the process that has ended: its callers send
+// their jobs again. The new process gets a connection of its own, so that no
+// frame or run end of the earlier one counts for it.
+void run_supervisor_impl::OnEntryRestarted(entry_index entry) {
+  RecordDecision(decision_kind::kEntryRestarted, "",
+                 {{"entry", links_[entry].entry()},
+                  {"had_runs", std::int64_t{runs_.HasRunsOf(entry) ? 1 : 0}}});
+  Reconnect(entry);
+}
+
 // These runs are not reported one by one. The entry learns of their end from
 // the `settled` flag in a heartbeat on the new connection.
 void run_supervisor_impl::DropRunsOf(entry_index entry,
--- a/src/scheduler/tests/run_supervisor_test.cc
+++ b/src/scheduler/tests/run_supervisor_test.cc
@@ -158,6 +158,71 @@
   EXPECT_TRUE(driver_.Reports().empty());
 }
 
+// Guards against runs of a killed entry process that continue because its
+// successor answers on the same connection within the silence timeout. The
+// callers resubmit their jobs to other entries, which start the tasks again.
+TEST_F(RunSupervisor, StopsRunsOfRestartedEntry) {
+  StartConfirmedRun(0);
+  const connection_number connection = driver_.Connection(0);
+  driver_.RestartEntry(0);
+  ASSERT_EQ(driver_.Commands<stop_run>().size(), 1U);
+  EXPECT_EQ(driver_.Commands<stop_run>()[0].id, supervisor_driver::RunId(0));
+  EXPECT_GT(driver_.Connection(0), connection);
+  EXPECT_EQ(driver_.LastSettled(0), false);
+  driver_.Handle(stop_answered{supervisor_driver::RunId(0),
+                               worker_call_result::kAccepted});
+  driver_.AnswerPoll({}, {{1, supervisor_driver::RunId(0), run_end::kDone}});
+  driver_.AdvanceWithAnswers(milliseconds(300), {});
+  EXPECT_EQ(driver_.LastSettled(0), true);
+  EXPECT_TRUE(driver_.Reports().empty());
+}
+
+// Guards against a queued task of a killed entry process that starts after its
+// successor has answered.
+TEST_F(RunSupervisor, DropsQueuedRunsOfRestartedEntry) {
+  for (std::uint32_t task = 0; task < 11; ++task) {
+    driver_.Dispatch(task);
+    driver_.AnswerStart(supervisor_driver::RunId(task));
+  }
+  driver_.RestartEntry(0);
+  EXPECT_EQ(driver_.core->gauges().queued, 0U);
+  driver_.AnswerPoll({}, {{1, supervisor_driver::RunId(3), run_end::kDone}});
+  EXPECT_EQ(driver_.Commands<start_run>().size(), 10U);
+}
+
+// Guards against a dispatch, a cancellation or a list of entries of one entry
+// process that takes effect on the connection of another.
+TEST_F(RunSupervisor, IgnoresMessagesOfAnotherEntryProcess) {
+  StartConfirmedRun(0);
+  driver_.entry_restarts[0] = 1;
+  auto frame = driver_.MakeFrame(0);
+  wire::beat_reply reply;
+  reply.members_hash = 5;
+  reply.members = {{"e9", "10.0.0.9:7"}};
+  frame.messages.emplace_back(reply);
+  frame.messages.emplace_back(wire::run_cancel{1, {}});
+  const std::size_t links = driver_.Commands<open_link>().size();
+  driver_.Handle(entry_frame{0, frame});
+  // The one new connection is that to the restarted entry.
+  ASSERT_EQ(driver_.Commands<open_link>().size(), links + 1);
+  EXPECT_EQ(driver_.Commands<open_link>().back().entry, 0U);
+  driver_.Dispatch(1, milliseconds(100), 1);
+  EXPECT_EQ(driver_.Commands<start_run>().size(), 2U);
+}
+
+// Guards against an entry that restarts three times within the silence timeout,
+// of which only the first restart is noticed.
+TEST_F(RunSupervisor, StopsRunsOnEachRestartOfAnEntry) {
+  for (std::uint32_t restart = 1; restart <= 3; ++restart) {
+    driver_.Dispatch(restart);
+    driver_.AnswerStart(supervisor_driver::RunId(restart));
+    driver_.RestartEntry(0);
+    EXPECT_EQ(driver_.Commands<stop_run>().size(), restart);
+    driver_.AnswerHeartbeats();
+    driver_.AdvanceTime(milliseconds(50));
+  }
+}
+
 // Guards against renewing a lease after the agent was suspended, as the entry
 // may have dispatched the tasks to other agents meanwhile.
 TEST_F(RunSupervisor, DoesNotRenewLeaseAfterSuspension) {
--- a/src/scheduler/tests/supervisor_driver.h
+++ b/src/scheduler/tests/supervisor_driver.h
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -89,12 +90,28 @@
   wire::entry_run_frame MakeFrame(entry_index entry) const {
     wire::entry_run_frame frame;
     frame.entry = "e" + std::to_string(entry);
-    frame.entry_incarnation = incarnation{entry + 1};
+    frame.entry_incarnation = EntryIncarnation(entry);
     frame.entry_time = EntryNow();
     frame.connection = Connection(entry);
     return frame;
   }
 
+  incarnation EntryIncarnation(entry_index entry) const {
+    const auto found = entry_restarts.find(entry);
+    const std::uint64_t restarts =
+        found == entry_restarts.end() ? 0 : found->second;
+    return incarnation{1000 * restarts + entry + 1};
+  }
+
+  // Replaces the entry process by a new one, whose heartbeat reply arrives on
+  // the connection of the earlier one.
+  void RestartEntry(entry_index entry) {
+    ++entry_restarts[entry];
+    auto frame = MakeFrame(entry);
+    frame.messages.emplace_back(wire::beat_reply{});
+    Handle(entry_frame{entry, frame});
+  }
+
   // Connection number of the last frame to the entry.
   connection_number Connection(entry_index entry) const {
     connection_number connection{1};
@@ -234,6 +251,7 @@
   std::unique_ptr<run_supervisor> core;
   monotonic_time now{seconds(100)};
   std::vector<supervisor_command> commands;
+  std::map<entry_index, std::uint64_t> entry_restarts;
   std::size_t heartbeat_scan_position = 0;
   std::size_t answered_polls = 0;
 };
