Address an agent's frames to the entry process that dispatched the runs

Cause: jobs are numbered from 1 in each entry process, and the report of a run's end names job, task and attempt only. The end of a run that the killed process had dispatched completes another caller's job at the new one.

JobScheduler.IgnoresReportsAddressedToAnEarlierProcess, JobScheduler.DispatchesNothingOnAConnectionOfAnEarlierProcess and RunSupervisor.AddressesFramesToTheEntryProcess fail without the change.

Change: a frame of an agent names the entry process that has answered on its connection; all reports in it belong to that process, as a connection has only one. An entry takes nothing from a frame for another process and asks the agent to reconnect. The field is optional on the wire, so that an agent of an earlier release is understood.

--- a/src/include/egretrack/wire/run_messages.h
+++ b/src/include/egretrack/wire/run_messages.h
@@ -2,6 +2,7 @@
 #define EGRETRACK_WIRE_RUN_MESSAGES_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -106,6 +107,9 @@
   std::string agent;
   incarnation agent_incarnation{};
   connection_number connection{};
+  // The entry process that has answered on this connection, to which all
+  // reports in the frame belong; unset before its first answer.
+  std::optional<incarnation> entry_incarnation;
   worker_load load;
   std::vector<agent_run_message> messages;
 
--- a/src/scheduler/entry_link.h
+++ b/src/scheduler/entry_link.h
@@ -67,6 +67,10 @@
   const std::string& address() const { return address_; }
   const std::string& entry() const { return entry_; }
   connection_number connection() const { return connection_; }
+  // The process that has answered on this connection, if any.
+  const std::optional<incarnation>& entry_incarnation() const {
+    return incarnation_;
+  }
   // True once the entry has answered a heartbeat on this connection.
   bool responded() const { return last_exchange_.has_value(); }
 
@@ -97,7 +101,6 @@
 
   const std::string address_;
   std::string entry_;
-  // Of the process that answered on this connection.
   std::optional<incarnation> incarnation_;
   connection_number connection_{1};
   monotonic_time connected_at_;
--- a/src/scheduler/job_scheduler_agents.cc
+++ b/src/scheduler/job_scheduler_agents.cc
@@ -41,9 +41,17 @@
         {{"agent", view.agent()},
          {"connection", static_cast<std::int64_t>(session.connection)},
          {"outstanding", std::int64_t{view.outstanding}}});
-  } else if (event.link != view.link) {
-    // The transport has reconnected on its own and may have lost frames.
+  }
+  // Frames for an earlier entry process hold the ends of its runs, whose job
+  // numbers this process uses again.
+  const bool for_other_process =
+      event.frame.entry_incarnation &&
+      *event.frame.entry_incarnation != options_.entry_incarnation;
+  // On another link, the transport has reconnected on its own and may have lost
+  // frames.
+  if (for_other_process || event.link != view.link) {
     view.link = event.link;
+    view.last_contact = now_;
     wire::beat_reply reply;
     reply.reconnect = true;
     view.outgoing.emplace_back(std::move(reply));
--- a/src/scheduler/run_supervisor_links.cc
+++ b/src/scheduler/run_supervisor_links.cc
@@ -248,6 +248,7 @@
   send.frame.agent = options_.agent;
   send.frame.agent_incarnation = options_.agent_incarnation;
   send.frame.connection = link.connection();
+  send.frame.entry_incarnation = link.entry_incarnation();
   send.frame.load = load;
   send.frame.load.dispatches_seen = link.dispatches_seen;
   send.frame.messages = std::exchange(link.outgoing, {});
--- a/src/scheduler/tests/job_scheduler_test.cc
+++ b/src/scheduler/tests/job_scheduler_test.cc
@@ -122,6 +122,36 @@
   EXPECT_TRUE(driver_.AnswersFor(1).empty());
 }
 
+// Guards against completing a job with the end of a task that an earlier entry
+// process dispatched. Job numbers begin at 1 in each process, so that the end
+// matches a job of the restarted entry in job, task and attempt.
+TEST_F(JobScheduler, IgnoresReportsAddressedToAnEarlierProcess) {
+  driver_.Handle(scheduler_driver::MakeJob(1, "j"));
+  const auto dispatched = driver_.TakeDispatched();
+  ASSERT_EQ(dispatched.size(), 1U);
+  driver_.addressed_process = incarnation{41};
+  driver_.Report(dispatched[0], wire::run_end::kDone);
+  EXPECT_TRUE(driver_.AnswersFor(1).empty());
+  EXPECT_TRUE(driver_.RequestsReconnect());
+  driver_.addressed_process =
+      scheduler_driver::DefaultOptions().entry_incarnation;
+  driver_.Report(dispatched[0], wire::run_end::kDone);
+  ASSERT_TRUE(driver_.AnswerFor(1).has_value());
+  EXPECT_EQ(driver_.AnswerFor(1)->state, job_state::kCompleted);
+}
+
+// Guards against dispatching to an agent that still takes this process for an
+// earlier one, and would drop the task with that process's runs.
+TEST_F(JobScheduler, DispatchesNothingOnAConnectionOfAnEarlierProcess) {
+  scheduler_driver driver;
+  driver.Configure();
+  driver.addressed_process = incarnation{41};
+  driver.SendHeartbeat(1);
+  driver.Handle(scheduler_driver::MakeJob(1, "j"));
+  EXPECT_TRUE(driver.TakeDispatched().empty());
+  EXPECT_TRUE(driver.RequestsReconnect());
+}
+
 // Guards against creating a second job when a caller resubmits one on another
 // connection.
 TEST_F(JobScheduler, AttachesAResubmissionToTheExistingJob) {
--- a/src/scheduler/tests/run_supervisor_test.cc
+++ b/src/scheduler/tests/run_supervisor_test.cc
@@ -177,6 +177,20 @@
   EXPECT_TRUE(driver_.Reports().empty());
 }
 
+// Guards against an end of a run that reaches another entry process than the
+// one that dispatched it.
+TEST_F(RunSupervisor, AddressesFramesToTheEntryProcess) {
+  const auto addressed = [&] {
+    return driver_.Commands<send_to_entry>().back().frame.entry_incarnation;
+  };
+  StartConfirmedRun(0);
+  driver_.AnswerPoll({}, {{5, supervisor_driver::RunId(0), run_end::kDone}});
+  EXPECT_EQ(addressed(), driver_.EntryIncarnation(0));
+  driver_.RestartEntry(0);
+  EXPECT_EQ(driver_.Commands<send_to_entry>().back().entry, 0U);
+  EXPECT_EQ(addressed(), std::nullopt);
+}
+
 // Guards against a queued task of a killed entry process that starts after its
 // successor has answered.
 TEST_F(RunSupervisor, DropsQueuedRunsOfRestartedEntry) {
--- a/src/scheduler/tests/scheduler_driver.h
+++ b/src/scheduler/tests/scheduler_driver.h
@@ -26,6 +26,7 @@
   static scheduler_options DefaultOptions() {
     scheduler_options options;
     options.entry = "e1";
+    options.entry_incarnation = incarnation{42};
     options.failure_domain = "palermo";
     return options;
   }
@@ -87,6 +88,7 @@
     frame.agent = "a" + std::to_string(agent);
     frame.agent_incarnation = incarnation{7};
     frame.connection = connection_number{1};
+    frame.entry_incarnation = addressed_process;
     frame.load.free = {16000, 32768, 0};
     frame.load.dispatches_seen = 1000000;
     return frame;
@@ -193,11 +195,29 @@
     return answers.size() == 1 ? std::optional(answers.front()) : std::nullopt;
   }
 
+  // Whether the last frame to an agent asks it to reconnect.
+  bool RequestsReconnect() const {
+    bool reconnect = false;
+    for (const scheduler_command& command : commands) {
+      const auto* send = std::get_if<send_to_agent>(&command);
+      if (send == nullptr)
+        continue;
+      reconnect = false;
+      for (const auto& message : send->frame.messages) {
+        const auto* reply = std::get_if<wire::beat_reply>(&message);
+        reconnect = reconnect || (reply != nullptr && reply->reconnect);
+      }
+    }
+    return reconnect;
+  }
+
   std::unique_ptr<job_scheduler> core;
   monotonic_time now{seconds(100)};
   std::vector<scheduler_command> commands;
   std::size_t commands_read = 0;
   std::uint64_t last_sequence = 0;
+  // The entry process that agents name in their frames.
+  std::optional<incarnation> addressed_process;
 };
 
 }  // namespace egretrack::scheduler
--- a/src/wire/run_codec.cc
+++ b/src/wire/run_codec.cc
@@ -220,6 +220,10 @@
   out.set_agent_incarnation(
       static_cast<std::uint64_t>(frame.agent_incarnation));
   out.set_connection(static_cast<std::uint64_t>(frame.connection));
+  if (frame.entry_incarnation) {
+    out.set_entry_incarnation(
+        static_cast<std::uint64_t>(*frame.entry_incarnation));
+  }
   pb::WorkerLoad& load = *out.mutable_load();
   load.set_dispatches_seen(frame.load.dispatches_seen);
   Write(frame.load.free, *load.mutable_free());
@@ -254,6 +258,8 @@
   frame.agent = in.agent();
   frame.agent_incarnation = incarnation{in.agent_incarnation()};
   frame.connection = connection_number{in.connection()};
+  if (in.has_entry_incarnation())
+    frame.entry_incarnation = incarnation{in.entry_incarnation()};
   if (!Read(in.load(), frame.load))
     return Malformed("load in a run frame of an agent");
   for (const pb::AgentRunMessage& message : in.messages()) {
--- a/src/wire/tests/run_codec_test.cc
+++ b/src/wire/tests/run_codec_test.cc
@@ -15,6 +15,7 @@
   frame.agent = "a1";
   frame.agent_incarnation = incarnation{0xfedcba9876543210};
   frame.connection = connection_number{3};
+  frame.entry_incarnation = incarnation{0x0123456789abcdef};
   frame.load = {12, {-1600, 64, 0}, 2, microseconds(1500)};
   agent_beat beat;
   beat.sequence = 9;
@@ -63,6 +64,14 @@
             EntryFrame());
 }
 
+// Guards against rejecting the frames of an agent of an earlier release, which
+// do not name the entry process, and of an agent that does not know it yet.
+TEST(RunCodec, EntryIncarnationOfAgentFrameIsOptional) {
+  agent_run_frame frame = AgentFrame();
+  frame.entry_incarnation.reset();
+  EXPECT_EQ(DecodeAgentRunFrame(AsBytes(EncodeFrame(frame))).value(), frame);
+}
+
 // Decoding must fail with errc::kParseFailed or yield a frame that passes
 // another round trip.
 template <typename Frame>
