Poll the worker before a report of another one replaces it

Cause: a report with another id, or with a later birth, replaced the agent's worker. Its runs were reported as lost and neither stopped nor waited for.

RunSupervisor.KeepsWorkerThatAnswersWhenAnotherIsReported, .KeepsAddressOfWorkerThatAnswers and .AdoptsReportedWorkerWhenItsPredecessorHasEnded fail without the change.

Change: such a report makes the agent poll the worker that it has. The answer of this worker dismisses the report; the answer of another worker at its address (421), or its silence once its runs have ended, makes room for the reported one. A report that names another address for the current life is treated alike. No task starts while a report suggests a restart under the same id. On the way, a 421 to a poll counted as no answer.

RunSupervisor.IgnoresReportsOfEarlierWorkerIncarnation gets one more poll, as a worker is replaced only after a poll; its expectations stay.

--- a/src/include/egretrack/scheduler/decision_record.h
+++ b/src/include/egretrack/scheduler/decision_record.h
@@ -41,6 +41,8 @@
   kWorkerDraining,
   kWorkerGone,
   kWorkerRestarted,
+  kOtherWorkerReported,   // Not adopted while the current worker answers.
+  kOtherWorkerDismissed,  // The current worker has answered.
   kWorkerSilent,
   kWorkerAnswers,  // A silent worker responds again.
   kLeaseLapsed,
--- a/src/scheduler/decision_record.cc
+++ b/src/scheduler/decision_record.cc
@@ -40,6 +40,8 @@
                 {"worker_draining", false},
                 {"worker_gone", true},
                 {"worker_restarted", true},
+                {"other_worker_reported", true},
+                {"other_worker_dismissed", false},
                 {"worker_silent", true},
                 {"worker_answers", false},
                 {"lease_lapsed", true},
--- a/src/scheduler/run_supervisor.cc
+++ b/src/scheduler/run_supervisor.cc
@@ -16,6 +16,12 @@
 // back by an hour costs a dozen refusals.
 constexpr std::uint64_t kInitialFenceStep = 1000;
 
+// A worker keeps its address and its time of birth until it ends.
+bool IsSameWorker(const worker_report& a, const worker_report& b) {
+  return a.id == b.id && a.worker_incarnation == b.worker_incarnation &&
+         a.address == b.address;
+}
+
 }  // namespace
 
 result<std::unique_ptr<run_supervisor>> run_supervisor::Create(
@@ -164,17 +170,15 @@
 // ---- Worker ---------------------------------------------------------------
 
 void run_supervisor_impl::OnWorkerReport(worker_report& event) {
-  const bool same_incarnation =
-      worker_ && worker_->report.id == event.id &&
-      worker_->report.worker_incarnation == event.worker_incarnation;
-  // Ignores a delayed report, whether of this or of an earlier incarnation.
-  if (same_incarnation && event.sequence < worker_->report.sequence)
-    return;
-  if (worker_ && !same_incarnation &&
-      event.worker_incarnation < worker_->report.worker_incarnation)
+  if (!worker_)
+    return AdoptWorker(std::move(event));
+  const worker_report& current = worker_->report;
+  if (!IsSameWorker(current, event))
+    return ConsiderSuccessor(std::move(event));
+  // A delayed report.
+  if (event.sequence < current.sequence)
     return;
-  const bool changed =
-      !same_incarnation || event.draining != worker_->report.draining;
+  const bool changed = event.draining != current.draining;
   ApplyReport(event);
   if (changed)
     commands_->emplace_back(store_worker{worker_->report});
@@ -184,24 +188,26 @@
 // exists.
 void run_supervisor_impl::OnWorkerRestored(worker_restored& event) {
   if (!worker_)
-    ApplyReport(event.report);
+    AppearWorker(event.report);
+}
+
+void run_supervisor_impl::AdoptWorker(worker_report report) {
+  AppearWorker(report);
+  commands_->emplace_back(store_worker{worker_->report});
+}
+
+void run_supervisor_impl::AppearWorker(worker_report& report) {
+  worker_.emplace();
+  RecordDecision(decision_kind::kWorkerAppeared, "",
+                 {{"worker", report.id},
+                  {"desk", report.desk},
+                  {"cpu_milli", report.capacity.cpu_milli},
+                  {"born_ms", report.worker_incarnation}});
+  ScheduleHeartbeats();
+  ApplyReport(report);
 }
 
 void run_supervisor_impl::ApplyReport(worker_report& report) {
-  const bool same_incarnation =
-      worker_ && worker_->report.id == report.id &&
-      worker_->report.worker_incarnation == report.worker_incarnation;
-  if (!same_incarnation) {
-    if (worker_)
-      ForgetWorker(decision_kind::kWorkerRestarted);
-    worker_.emplace();
-    RecordDecision(decision_kind::kWorkerAppeared, "",
-                   {{"worker", report.id},
-                    {"desk", report.desk},
-                    {"cpu_milli", report.capacity.cpu_milli},
-                    {"born_ms", report.worker_incarnation}});
-    ScheduleHeartbeats();
-  }
   worker_->last_contact = now_;
   if (report.draining && !worker_->draining) {
     worker_->draining = true;
@@ -212,6 +218,34 @@
   worker_->report = std::move(report);
 }
 
+// A report alone does not show that the current worker has ended: it may be a
+// delayed one, or come from another writer. The current worker is polled, and
+// keeps its place if it answers.
+void run_supervisor_impl::ConsiderSuccessor(worker_report report) {
+  const bool known = successor_ && IsSameWorker(successor_->report, report);
+  if (!known) {
+    RecordDecision(decision_kind::kOtherWorkerReported, "",
+                   {{"worker", worker_->report.id},
+                    {"born_ms", worker_->report.worker_incarnation},
+                    {"other", report.id},
+                    {"other_born_ms", report.worker_incarnation}});
+  }
+  successor_ = {std::move(report), now_};
+  next_poll_ = now_;
+}
+
+// The successor, if any, was not heard of after the poll, which the current
+// worker has answered.
+void run_supervisor_impl::DismissSuccessor() {
+  if (!successor_ || successor_->reported_at > poll_sent_at_)
+    return;
+  RecordDecision(decision_kind::kOtherWorkerDismissed, "",
+                 {{"worker", worker_->report.id},
+                  {"other", successor_->report.id},
+                  {"other_born_ms", successor_->report.worker_incarnation}});
+  successor_.reset();
+}
+
 void run_supervisor_impl::OnWorkerDeregistered(worker_deregistered& event) {
   if (worker_ && worker_->report.id == event.id)
     ForgetWorker(decision_kind::kWorkerGone);
--- a/src/scheduler/run_supervisor_impl.h
+++ b/src/scheduler/run_supervisor_impl.h
@@ -30,6 +30,13 @@
   bool reconciled = false;
 };
 
+// Another worker than the current one, as reported last. It takes the place of
+// the current worker once that one has ended.
+struct reported_successor {
+  worker_report report;
+  monotonic_time reported_at{};
+};
+
 // Implementation of the run supervisor. The member functions are grouped by the
 // source file that defines them.
 class run_supervisor_impl final : public run_supervisor {
@@ -55,7 +62,11 @@
   void OnPollAnswered(poll_answered& event);
   void OnEntriesDiscovered(entries_discovered& event);
   void OnDrainRequested(agent_drain_requested& event);
+  void AdoptWorker(worker_report report);
+  void AppearWorker(worker_report& report);
   void ApplyReport(worker_report& report);
+  void ConsiderSuccessor(worker_report report);
+  void DismissSuccessor();
   void BeginCall(monotonic_time now, std::vector<supervisor_command>& commands);
   monotonic_time NextWakeup() const;
   void ExpireQueuedRuns();
@@ -136,6 +147,7 @@
   std::uint64_t members_hash_ = 0;  // Of the last list of entries.
   run_table runs_;
   std::optional<worker_state> worker_;
+  std::optional<reported_successor> successor_;
   worker_lease lease_;
   std::uint64_t fence_;
   std::uint64_t fence_step_;
--- a/src/scheduler/run_supervisor_polls.cc
+++ b/src/scheduler/run_supervisor_polls.cc
@@ -61,8 +61,8 @@
 bool run_supervisor_impl::NeedsPoll() const {
   if (!worker_)
     return false;
-  return worker_silent_ || !worker_->reconciled || runs_.CountAtWorker() > 0 ||
-         !orphaned_runs_.empty() ||
+  return worker_silent_ || successor_ || !worker_->reconciled ||
+         runs_.CountAtWorker() > 0 || !orphaned_runs_.empty() ||
          worker_->last_end_seen > worker_->last_end_acknowledged;
 }
 
@@ -101,6 +101,8 @@
       return RaiseFence();
     case worker_call_result::kUnreachable:
       return ForgetWorker(decision_kind::kWorkerGone);
+    case worker_call_result::kOtherIncarnation:
+      return ForgetWorker(decision_kind::kWorkerRestarted);
     default:
       CountUnansweredPoll();
       next_poll_ =
@@ -119,6 +121,7 @@
     ScheduleHeartbeats();
   }
   unanswered_polls_ = 0;
+  DismissSuccessor();
   worker_->last_contact = now_;
   worker_->last_end_acknowledged =
       std::max(worker_->last_end_acknowledged, poll_last_end_seen_);
--- a/src/scheduler/run_supervisor_worker.cc
+++ b/src/scheduler/run_supervisor_worker.cc
@@ -32,6 +32,10 @@
       !lease_.clock_known() || !MayExtendLease()) {
     return;
   }
+  // The worker may have started again under its id, in which case it would
+  // accept calls for its earlier life.
+  if (successor_ && successor_->report.id == worker_->report.id)
+    return;
   resources free = worker_->report.capacity - runs_.UsedResources();
   while (starts_in_flight_ < options_.max_starts_in_flight) {
     auto* next = runs_.NextToStart(free, now_);
@@ -256,6 +260,8 @@
   worker_silent_ = false;
   next_poll_ = now_;
   ScheduleHeartbeats();
+  if (auto successor = std::exchange(successor_, std::nullopt))
+    AdoptWorker(std::move(successor->report));
 }
 
 void run_supervisor_impl::CheckWorker() {
@@ -268,8 +274,12 @@
                     {"late_us", (now_ - lease_.expires_at()).count()}});
     EndAllRunsAsLost(wire::run_reason::kLeaseLapsed);
   }
-  if (now_ - worker_->last_contact > options_.worker_report_timeout)
+  const bool replaced =
+      successor_ && worker_silent_ && runs_.CountAtWorker() == 0;
+  if (replaced ||
+      now_ - worker_->last_contact > options_.worker_report_timeout) {
     ForgetWorker(decision_kind::kWorkerGone);
+  }
 }
 
 }  // namespace egretrack::scheduler
--- a/src/scheduler/tests/run_supervisor_test.cc
+++ b/src/scheduler/tests/run_supervisor_test.cc
@@ -497,14 +497,85 @@
 // Guards against a delayed report of an earlier worker incarnation that
 // replaces the current one.
 TEST_F(RunSupervisor, IgnoresReportsOfEarlierWorkerIncarnation) {
+  driver_.AdvanceTime(milliseconds(5));
   driver_.Handle(supervisor_driver::WorkerReport(2000));
   driver_.AnswerPoll({}, {}, 2000);
+  driver_.AnswerPoll({}, {}, 2000);
   StartConfirmedRun(0);
   driver_.Handle(supervisor_driver::WorkerReport(1000, 9));
   EXPECT_TRUE(driver_.Reports().empty());
   EXPECT_EQ(driver_.core->gauges().running, 1U);
 }
 
+// Guards against giving up the runs of a worker because one odd report names
+// another one. The entries started the tasks elsewhere while they ran on.
+TEST_F(RunSupervisor, KeepsWorkerThatAnswersWhenAnotherIsReported) {
+  StartConfirmedRun(0);
+  driver_.AdvanceTime(milliseconds(5));
+  auto odd = supervisor_driver::WorkerReport(9000);
+  odd.id = "odd";
+  odd.desk = "unknown";
+  odd.address = "10.0.0.9:9";
+  driver_.Handle(odd);
+  EXPECT_TRUE(driver_.Reports().empty());
+  driver_.AdvanceWithAnswers(milliseconds(50),
+                             {{supervisor_driver::RunId(0), 10}});
+  EXPECT_EQ(driver_.core->gauges().running, 1U);
+  EXPECT_EQ(driver_.LastHeartbeatNamesWorker(0), true);
+  driver_.AnswerPoll({}, {{1, supervisor_driver::RunId(0), run_end::kDone}});
+  ASSERT_EQ(driver_.Reports().size(), 1U);
+  EXPECT_EQ(driver_.Reports()[0].end, run_end::kDone);
+}
+
+// Guards against calls to an address that another writer names for the worker.
+TEST_F(RunSupervisor, KeepsAddressOfWorkerThatAnswers) {
+  driver_.AdvanceTime(milliseconds(5));
+  auto odd = supervisor_driver::WorkerReport();
+  odd.address = "10.0.0.9:9";
+  odd.sequence = 50;
+  driver_.Handle(odd);
+  driver_.AnswerPoll({});
+  StartConfirmedRun(0);
+  EXPECT_EQ(driver_.Commands<start_run>().back().target.address,
+            supervisor_driver::WorkerReport().address);
+}
+
+// Guards against an agent that keeps a worker whose place another one has
+// taken.
+TEST_F(RunSupervisor, AdoptsReportedWorkerWhenItsPredecessorHasEnded) {
+  driver_.AdvanceTime(milliseconds(5));
+  auto successor = supervisor_driver::WorkerReport(500);
+  successor.id = "w2";
+  driver_.Handle(successor);
+  driver_.FailPoll(worker_call_result::kOtherIncarnation);
+  driver_.AnswerPoll({}, {}, 500);
+  driver_.Dispatch(0);
+  ASSERT_EQ(driver_.Commands<start_run>().size(), 1U);
+  EXPECT_EQ(driver_.Commands<start_run>()[0].target.worker, "w2");
+}
+
+// Guards against an agent that adopts an odd report at its start and then
+// ignores its worker.
+TEST(RunSupervisorStart, ReplacesReportedWorkerThatDoesNotAnswer) {
+  supervisor_driver driver;
+  auto odd = supervisor_driver::WorkerReport(9000);
+  odd.id = "odd";
+  odd.address = "10.0.0.9:9";
+  driver.Handle(odd);
+  driver.FailPoll(worker_call_result::kUnreachable);
+  driver.Handle(supervisor_driver::WorkerReport());
+  while (driver.core->gauges().has_worker &&
+         driver.Commands<poll_worker>().back().target.worker == "odd") {
+    driver.FailPoll(worker_call_result::kUnreachable);
+    driver.AdvanceTime(milliseconds(25));
+  }
+  driver.AnswerPoll({});
+  driver.AnswerHeartbeats();
+  driver.Dispatch(0);
+  ASSERT_EQ(driver.Commands<start_run>().size(), 1U);
+  EXPECT_EQ(driver.Commands<start_run>()[0].target.worker, "w");
+}
+
 // Guards against starts on a draining worker, including starts of tasks that
 // were queued before.
 TEST_F(RunSupervisor, StartsNothingOnDrainingWorker) {
