Stop runs that may be on a later life of a restarted worker

Cause: reports with a lower birth were ignored as delayed, so the agent started tasks on the new life in the name of the old one: both accept calls for the id. A poll that another life answered ended all runs as lost, also those that had just been started on this life, and the worker was forgotten, so that nobody stopped them.

RunSupervisor.FollowsRestartedWorkerThatIsBornEarlier, .StartsNothingUntilReportedRestart- IsVerified, .StopsRunThatStartedOnAnUnknownLife, .ReportsRunOfUnknownLifeOnceStartIs- FencedOff and .ReconcilesRestartedWorkerWithAHigherFence fail without the change.

Change: FindRunEndProof() answers whether a run has ended. A run belongs to the life that answers a poll sent after its last start call was over. When a later life answers, these runs have ended; the others are stopped on it. The fencing token rises with each life, so that once the life has accepted a poll with the new token, a run that it does not list cannot be there, nor come by a late call. A lease that may have been granted by another life is bounded by the longest one that a worker grants; the clock in the answer of a start tells whether that is needed. A start refused with 421 leads to a poll.

RunSupervisorStart.ForgetsRestoredWorkerThatWasReplaced now also starts a task. The fence is raised once for several calls that were refused with the same token.

--- a/src/include/egretrack/scheduler/run_supervisor.h
+++ b/src/include/egretrack/scheduler/run_supervisor.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -78,6 +79,7 @@
 struct start_answered {
   run_id id;
   worker_call_result result = worker_call_result::kUnanswered;
+  std::optional<milliseconds> worker_clock;  // If kAccepted.
 };
 struct stop_answered {
   run_id id;
@@ -197,6 +199,8 @@
   milliseconds entry_silence{600};
   // Maximum time that the worker's runs continue after this process has ended.
   milliseconds lease{700};
+  // Longest lease that a worker grants; it shortens longer ones.
+  milliseconds longest_lease{1000};
   // Allows for several lost renewals within a lease.
   milliseconds renew_interval{30};
   // Three report intervals of the worker.
--- a/src/job_agent/worker_client.cc
+++ b/src/job_agent/worker_client.cc
@@ -27,8 +27,7 @@
 void worker_client::Start(const scheduler::start_run& command) {
   Call(command.target, platform::EncodeStart(command), kCallTimeout,
        [id = command.id](const net::http_reply& reply) {
-         return scheduler::start_answered{
-             id, platform::DecodeWorkerCallResult(reply)};
+         return platform::DecodeStart(id, reply);
        });
 }
 
--- a/src/scheduler/deployment_limits.cc
+++ b/src/scheduler/deployment_limits.cc
@@ -67,9 +67,11 @@
   options.entry_silence = ScaleMs(options.entry_silence, factor);
   options.lease = ScaleMs(options.lease, factor);
   if (IsSet(limits.longest_lease)) {
+    options.longest_lease = limits.longest_lease;
     options.lease = std::min(options.lease,
                              ScaleMs(limits.longest_lease, kLeaseSafetyFactor));
   }
+  options.longest_lease = std::max(options.longest_lease, options.lease);
   if (IsSet(limits.stop_grace))
     options.drain_bound = std::min(options.drain_bound, DrainEnd(limits));
 }
--- /dev/null
+++ b/src/scheduler/run_end_proof.cc
@@ -0,0 +1,62 @@
+#include "scheduler/run_end_proof.h"
+
+#include <array>
+#include <cstddef>
+
+namespace egretrack::scheduler {
+namespace {
+
+// The worker ends a stopped run within 50 ms and then lists it as ended.
+constexpr milliseconds kRunStopTime{60};
+
+constexpr std::array<std::string_view, 9> kNames = {
+    "none",    "not_sent",   "refused",      "listed_ended", "not_listed",
+    "stopped", "fenced_off", "worker_ended", "lease_lapsed"};
+
+// Two lives of a worker share its id, so that a start call may have reached the
+// later one.
+run_end_proof FindProofOfRestart(const run_evidence& run) {
+  return run.at_current_life ? run_end_proof::kWorkerEnded
+                             : run_end_proof::kNone;
+}
+
+run_end_proof FindProofOfAbsence(const run_evidence& run) {
+  if (run.listed->running)
+    return run_end_proof::kNone;
+  const monotonic_time polled_at = run.listed->polled_at;
+  if (run.confirmed_at < polled_at)
+    return run_end_proof::kNotListed;
+  if (!run.stopping)
+    return run_end_proof::kNone;
+  if (run.stop_accepted_at < polled_at - kRunStopTime)
+    return run_end_proof::kStopped;
+  return run.start_fence < run.listed->fence ? run_end_proof::kFencedOff
+                                             : run_end_proof::kNone;
+}
+
+}  // namespace
+
+std::string_view Name(run_end_proof proof) {
+  return kNames[static_cast<std::size_t>(proof)];
+}
+
+run_end_proof FindRunEndProof(const run_evidence& run, monotonic_time now) {
+  if (!run.start_sent)
+    return run_end_proof::kNotSent;
+  if (run.start_refused && !run.earlier_start_unanswered)
+    return run_end_proof::kRefused;
+  if (run.listed) {
+    if (run.listed->ended)
+      return run_end_proof::kListedEnded;
+    if (run.listed->other_worker)
+      return run_end_proof::kWorkerEnded;
+    const auto proof = run.listed->other_life ? FindProofOfRestart(run)
+                                              : FindProofOfAbsence(run);
+    if (proof != run_end_proof::kNone)
+      return proof;
+  }
+  return now > run.lease_end ? run_end_proof::kLeaseLapsed
+                             : run_end_proof::kNone;
+}
+
+}  // namespace egretrack::scheduler
--- /dev/null
+++ b/src/scheduler/run_end_proof.h
@@ -0,0 +1,61 @@
+#ifndef EGRETRACK_SCHEDULER_RUN_END_PROOF_H_
+#define EGRETRACK_SCHEDULER_RUN_END_PROOF_H_
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+#include "egretrack/base/time.h"
+
+// Decides whether a run has certainly ended, so that its task may start
+// elsewhere. docs/design.md lists the places that ask.
+namespace egretrack::scheduler {
+
+enum class run_end_proof : std::uint8_t {
+  kNone,         // The run may go on: it has to be stopped and waited for.
+  kNotSent,      // No start call has reached a worker.
+  kRefused,      // The worker refused the only start call.
+  kListedEnded,  // The worker lists the end.
+  kNotListed,    // The worker had confirmed the run and no longer lists it.
+  kStopped,      // The worker accepted a stop and no longer lists the run.
+  kFencedOff,    // The worker ignores the start call and does not list the run.
+  kWorkerEnded,  // Another worker, or another life of it, has its address.
+  kLeaseLapsed,
+};
+
+// Name in the event log, for example "lease_lapsed".
+std::string_view Name(run_end_proof proof);
+
+// The answer of a worker to a poll, as far as it concerns one run.
+struct listed_run {
+  monotonic_time polled_at{};  // When the poll was sent.
+  std::uint64_t fence = 0;     // Token of the poll.
+  // Another life of the worker answers than the one that the agent follows.
+  bool other_life = false;
+  // A worker of another id answers. It refuses calls for the earlier one.
+  bool other_worker = false;
+  bool ended = false;
+  bool running = false;
+};
+
+// What an agent knows about a run. Unset times are in the future.
+struct run_evidence {
+  bool start_sent = false;
+  bool start_refused = false;
+  // An earlier start call got no answer and may still take effect.
+  bool earlier_start_unanswered = false;
+  std::uint64_t start_fence = 0;
+  bool stopping = false;
+  monotonic_time confirmed_at = monotonic_time::max();
+  monotonic_time stop_accepted_at = monotonic_time::max();
+  // The run is known to be at the worker life that the agent follows.
+  bool at_current_life = false;
+  std::optional<listed_run> listed;
+  monotonic_time lease_end = monotonic_time::max();
+};
+
+run_end_proof FindRunEndProof(const run_evidence& run, monotonic_time now);
+
+}  // namespace egretrack::scheduler
+
+#endif  // EGRETRACK_SCHEDULER_RUN_END_PROOF_H_
--- a/src/scheduler/run_supervisor.cc
+++ b/src/scheduler/run_supervisor.cc
@@ -16,14 +16,13 @@
 // back by an hour costs a dozen refusals.
 constexpr std::uint64_t kInitialFenceStep = 1000;
 
-// A worker keeps its address and its time of birth until it ends.
+}  // namespace
+
 bool IsSameWorker(const worker_report& a, const worker_report& b) {
   return a.id == b.id && a.worker_incarnation == b.worker_incarnation &&
          a.address == b.address;
 }
 
-}  // namespace
-
 result<std::unique_ptr<run_supervisor>> run_supervisor::Create(
     supervisor_options options) {
   const bool valid = !options.agent.empty() &&
@@ -31,6 +30,7 @@
                      options.entry_silence > options.heartbeat_interval &&
                      options.idle_heartbeat_interval.count() > 0 &&
                      options.lease > options.renew_interval &&
+                     options.longest_lease >= options.lease &&
                      options.max_starts_in_flight > 0 &&
                      options.clock_drift >= 0 && options.clock_drift < 1;
   if (!valid)
@@ -41,7 +41,7 @@
 
 run_supervisor_impl::run_supervisor_impl(supervisor_options options)
     : options_(std::move(options)),
-      lease_(options_.lease, options_.clock_drift),
+      lease_(options_.lease, options_.longest_lease, options_.clock_drift),
       fence_(options_.first_fence),
       fence_step_(kInitialFenceStep) {}
 
@@ -112,11 +112,11 @@
                               !run.stop_accepted && !run.stop_in_flight;
     if (stop_pending && worker_)
       wakeup = std::min(wakeup, run.next_stop_call);
+    if (run.lifecycle.holds_resources())
+      wakeup = std::min(wakeup, LeaseEnd(run));
   }
   if (!poll_in_flight_ && NeedsPoll())
     wakeup = std::min(wakeup, next_poll_);
-  if (runs_.CountAtWorker() > 0)
-    wakeup = std::min(wakeup, lease_.expires_at());
   if (draining_ && !drained_)
     wakeup = std::min(wakeup, drain_end_);
   return wakeup;
@@ -142,7 +142,7 @@
     const {
   if (draining_ || (worker_ && worker_->draining))
     return wire::run_reason::kDraining;
-  if (!worker_ || worker_silent_)
+  if (!HasUsableWorker())
     return wire::run_reason::kNoWorker;
   return std::nullopt;
 }
@@ -178,8 +178,9 @@
   // A delayed report.
   if (event.sequence < current.sequence)
     return;
-  const bool changed = event.draining != current.draining;
-  ApplyReport(event);
+  const bool changed =
+      !worker_->described || event.draining != current.draining;
+  ApplyReport(std::move(event));
   if (changed)
     commands_->emplace_back(store_worker{worker_->report});
 }
@@ -188,15 +189,15 @@
 // exists.
 void run_supervisor_impl::OnWorkerRestored(worker_restored& event) {
   if (!worker_)
-    AppearWorker(event.report);
+    AppearWorker(std::move(event.report));
 }
 
 void run_supervisor_impl::AdoptWorker(worker_report report) {
-  AppearWorker(report);
+  AppearWorker(std::move(report));
   commands_->emplace_back(store_worker{worker_->report});
 }
 
-void run_supervisor_impl::AppearWorker(worker_report& report) {
+void run_supervisor_impl::AppearWorker(worker_report report) {
   worker_.emplace();
   RecordDecision(decision_kind::kWorkerAppeared, "",
                  {{"worker", report.id},
@@ -204,11 +205,13 @@
                   {"cpu_milli", report.capacity.cpu_milli},
                   {"born_ms", report.worker_incarnation}});
   ScheduleHeartbeats();
-  ApplyReport(report);
+  ApplyReport(std::move(report));
 }
 
-void run_supervisor_impl::ApplyReport(worker_report& report) {
+void run_supervisor_impl::ApplyReport(worker_report report) {
   worker_->last_contact = now_;
+  if (!std::exchange(worker_->described, true))
+    ScheduleHeartbeats();
   if (report.draining && !worker_->draining) {
     worker_->draining = true;
     RecordDecision(decision_kind::kWorkerDraining, "", {{"worker", report.id}});
@@ -248,7 +251,7 @@
 
 void run_supervisor_impl::OnWorkerDeregistered(worker_deregistered& event) {
   if (worker_ && worker_->report.id == event.id)
-    ForgetWorker(decision_kind::kWorkerGone);
+    OnWorkerEnded(decision_kind::kWorkerGone);
 }
 
 void run_supervisor_impl::OnEntriesDiscovered(entries_discovered& event) {
@@ -265,7 +268,7 @@
       std::count_if(links_.begin(), links_.end(), [](const entry_link& link) {
         return link.state != link_state::kClosed && link.responded();
       }));
-  gauges.has_worker = worker_.has_value();
+  gauges.has_worker = worker_ && worker_->described;
   gauges.free = FreeResources();
   return gauges;
 }
--- a/src/scheduler/run_supervisor_impl.h
+++ b/src/scheduler/run_supervisor_impl.h
@@ -12,6 +12,7 @@
 
 #include "egretrack/scheduler/run_supervisor.h"
 #include "scheduler/entry_link.h"
+#include "scheduler/run_end_proof.h"
 #include "scheduler/run_table.h"
 #include "scheduler/worker_lease.h"
 
@@ -28,8 +29,17 @@
   std::uint64_t last_end_acknowledged = 0;
   // A poll has shown that no run of an earlier agent incarnation is left.
   bool reconciled = false;
+  // Something suggests that another worker has taken the place of this one, so
+  // that it is polled although nothing runs.
+  bool unverified = false;
+  // False after a poll has shown a new life of the worker, whose capacity and
+  // labels are unknown until its next report.
+  bool described = true;
 };
 
+// A worker keeps its address and its time of birth until it ends.
+bool IsSameWorker(const worker_report& a, const worker_report& b);
+
 // Another worker than the current one, as reported last. It takes the place of
 // the current worker once that one has ended.
 struct reported_successor {
@@ -63,8 +73,8 @@
   void OnEntriesDiscovered(entries_discovered& event);
   void OnDrainRequested(agent_drain_requested& event);
   void AdoptWorker(worker_report report);
-  void AppearWorker(worker_report& report);
-  void ApplyReport(worker_report& report);
+  void AppearWorker(worker_report report);
+  void ApplyReport(worker_report report);
   void ConsiderSuccessor(worker_report report);
   void DismissSuccessor();
   void BeginCall(monotonic_time now, std::vector<supervisor_command>& commands);
@@ -120,13 +130,33 @@
   void SendStart(agent_run& run);
   void SendStops();
   void StopRun(agent_run& run, wire::run_reason reason);
-  void RefuseRun(std::uint64_t key, wire::run_reason reason);
+  void RefuseRun(std::uint64_t key,
+                 wire::run_reason reason,
+                 run_end_proof proof = run_end_proof::kNotSent);
   void RefuseQueuedRuns(wire::run_reason reason);
-  void EndRun(std::uint64_t key, wire::run_end end, wire::run_reason reason);
+  run_evidence EvidenceOf(const agent_run& run) const;
+  // Local time by which the run has ended unless its lease is renewed.
+  monotonic_time LeaseEnd(const agent_run& run) const;
+  // Ends the runs at the worker that have certainly ended. `listed` is what the
+  // worker answers about those that are not among `running`.
+  void EndProvenRuns(const std::optional<listed_run>& listed,
+                     const std::set<std::uint64_t>& running = {});
+  void EndProvenRun(std::uint64_t key, run_end_proof proof);
+  void EndRun(std::uint64_t key,
+              wire::run_end end,
+              wire::run_reason reason,
+              run_end_proof proof);
+  void OnStartUnanswered(agent_run& run);
+  void OnStartRefused(std::uint64_t key,
+                      worker_call_result result,
+                      run_end_proof proof);
   void ConfirmStart(agent_run& run);
-  void EndAllRunsAsLost(wire::run_reason reason);
   void ForgetWorker(decision_kind reason);
-  void RaiseFence();
+  void OnWorkerEnded(decision_kind reason);
+  void OnWorkerRestarted(std::int64_t worker_incarnation);
+  bool HasUsableWorker() const;
+  // Raises the fencing token if it is the one that the worker refused.
+  void RaiseFence(std::uint64_t refused);
   void CheckWorker();
   worker_call_target CallTarget() const;
 
@@ -156,6 +186,7 @@
   std::uint32_t starts_in_flight_ = 0;
   bool poll_in_flight_ = false;
   monotonic_time poll_sent_at_{};
+  std::uint64_t poll_fence_ = 0;
   std::uint64_t poll_last_end_seen_ = 0;  // Acknowledged by the poll in flight.
   monotonic_time next_poll_{};
   std::uint32_t unanswered_polls_ = 0;  // Consecutive.
--- a/src/scheduler/run_supervisor_links.cc
+++ b/src/scheduler/run_supervisor_links.cc
@@ -139,7 +139,9 @@
 }
 
 resources run_supervisor_impl::FreeResources() const {
-  return worker_ ? runs_.FreeResources(worker_->report.capacity) : resources();
+  return worker_ && worker_->described
+             ? runs_.FreeResources(worker_->report.capacity)
+             : resources();
 }
 
 wire::worker_load run_supervisor_impl::CurrentLoad() const {
@@ -158,7 +160,7 @@
   heartbeat.sequence = link.NextHeartbeat(now_);
   heartbeat.failure_domain = options_.failure_domain;
   heartbeat.members_hash = members_hash_;
-  if (worker_ && !worker_silent_) {
+  if (HasUsableWorker()) {
     const worker_report& report = worker_->report;
     heartbeat.worker.push_back(
         {report.id, report.desk, report.labels, report.capacity});
--- a/src/scheduler/run_supervisor_polls.cc
+++ b/src/scheduler/run_supervisor_polls.cc
@@ -16,8 +16,6 @@
 constexpr milliseconds kWorkerSilenceTimeout{250};
 // A stop that is not accepted within this time also ends lease renewal.
 constexpr milliseconds kStopTimeout{300};
-// The worker ends a stopped run within 50 ms and then lists it as ended.
-constexpr milliseconds kRunStopTime{60};
 // Poll interval while a stopped run has not ended yet.
 constexpr milliseconds kStopPollInterval{30};
 // Delay after a failed poll. Longer for a silent worker, as each attempt may
@@ -61,8 +59,9 @@
 bool run_supervisor_impl::NeedsPoll() const {
   if (!worker_)
     return false;
-  return worker_silent_ || successor_ || !worker_->reconciled ||
-         runs_.CountAtWorker() > 0 || !orphaned_runs_.empty() ||
+  return worker_silent_ || successor_ || worker_->unverified ||
+         !worker_->reconciled || runs_.CountAtWorker() > 0 ||
+         !orphaned_runs_.empty() ||
          worker_->last_end_seen > worker_->last_end_acknowledged;
 }
 
@@ -85,6 +84,7 @@
   }
   poll_in_flight_ = true;
   poll_sent_at_ = now_;
+  poll_fence_ = poll.target.fence;
   poll_last_end_seen_ = poll.last_end_seen;
   commands_->emplace_back(std::move(poll));
 }
@@ -98,11 +98,11 @@
     case worker_call_result::kAccepted:
       break;
     case worker_call_result::kFenced:
-      return RaiseFence();
+      return RaiseFence(poll_fence_);
     case worker_call_result::kUnreachable:
-      return ForgetWorker(decision_kind::kWorkerGone);
+      return OnWorkerEnded(decision_kind::kWorkerGone);
     case worker_call_result::kOtherIncarnation:
-      return ForgetWorker(decision_kind::kWorkerRestarted);
+      return OnWorkerEnded(decision_kind::kWorkerRestarted);
     default:
       CountUnansweredPoll();
       next_poll_ =
@@ -110,7 +110,7 @@
       return;
   }
   if (event.worker_incarnation != worker_->report.worker_incarnation) {
-    ForgetWorker(decision_kind::kWorkerRestarted);
+    OnWorkerRestarted(event.worker_incarnation);
     return;
   }
   if (worker_silent_) {
@@ -122,6 +122,7 @@
   }
   unanswered_polls_ = 0;
   DismissSuccessor();
+  worker_->unverified = false;
   worker_->last_contact = now_;
   worker_->last_end_acknowledged =
       std::max(worker_->last_end_acknowledged, poll_last_end_seen_);
@@ -172,7 +173,10 @@
             ? wire::run_reason::kLeaseLapsed
             : run.stop_reason;
     // A run may end by itself before its start was confirmed.
-    EndRun(found->first, row.end, lost ? reason : wire::run_reason::kNone);
+    run_evidence evidence = EvidenceOf(run);
+    evidence.listed = listed_run{.polled_at = poll_sent_at_, .ended = true};
+    EndRun(found->first, row.end, lost ? reason : wire::run_reason::kNone,
+           FindRunEndProof(evidence, now_));
   }
 }
 
@@ -197,25 +201,11 @@
     commands_->emplace_back(stop_run{CallTarget(), id});
   orphaned_runs_ = std::move(orphaned);
 
-  std::vector<std::uint64_t> missing_runs;
-  for (const auto& [key, run] : runs_.all()) {
-    if (listed.contains(key))
-      continue;
-    const bool ended_unreported =
-        run.lifecycle.phase() == run_phase::kRunning &&
-        run.confirmed < poll_sent_at_;
-    const bool stopped = run.lifecycle.phase() == run_phase::kStopping &&
-                         run.stop_accepted &&
-                         run.stop_accepted_at + kRunStopTime < poll_sent_at_;
-    if (ended_unreported || stopped)
-      missing_runs.push_back(key);
-  }
-  for (const std::uint64_t key : missing_runs) {
-    const agent_run& run = *runs_.Find(key);
-    if (run.stop_reason == wire::run_reason::kUnanswered)
-      RefuseRun(key, run.stop_reason);
-    else
-      EndRun(key, wire::run_end::kLost, run.stop_reason);
+  EndProvenRuns(listed_run{.polled_at = poll_sent_at_, .fence = poll_fence_},
+                listed);
+  for (auto& [key, run] : runs_.all()) {
+    if (run.start_resolved <= poll_sent_at_)
+      run.at_current_life = true;
   }
 }
 
--- a/src/scheduler/run_supervisor_worker.cc
+++ b/src/scheduler/run_supervisor_worker.cc
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -28,7 +29,7 @@
 // ---- Starts ---------------------------------------------------------------
 
 void run_supervisor_impl::StartRuns() {
-  if (!worker_ || worker_->draining || !worker_->reconciled ||
+  if (!HasUsableWorker() || worker_->draining || !worker_->reconciled ||
       !lease_.clock_known() || !MayExtendLease()) {
     return;
   }
@@ -54,8 +55,13 @@
 void run_supervisor_impl::SendStart(agent_run& run) {
   ++counters_.starts;
   ++starts_in_flight_;
+  run.start_fence = fence_;
+  run.start_resolved = monotonic_time::max();
+  run.at_current_life = false;
+  run.lease_confirmed = false;
+  run.lease_until = lease_.Renew(now_);
   commands_->emplace_back(
-      start_run{CallTarget(), run.id, run.spec, lease_.Renew(now_)});
+      start_run{CallTarget(), run.id, run.spec, run.lease_until});
 }
 
 void run_supervisor_impl::ConfirmStart(agent_run& run) {
@@ -77,53 +83,67 @@
   if (found == nullptr)
     return;
   agent_run& run = found->second;
+  run.start_resolved = now_;
+  run.lease_confirmed =
+      event.worker_clock && lease_.Covers(run.lease_until, *event.worker_clock);
   if (run.lifecycle.phase() != run_phase::kStarting)
     return;
-  const std::uint64_t key = found->first;
+  if (event.result == worker_call_result::kAccepted)
+    return ConfirmStart(run);
+  if (event.result == worker_call_result::kUnanswered)
+    return OnStartUnanswered(run);
   if (event.result == worker_call_result::kUnreachable)
-    return ForgetWorker(decision_kind::kWorkerGone);
-  // The result of a repeated call says nothing about an earlier unanswered
-  // call, which may still take effect.
-  const bool earlier_may_start =
-      run.resends > 0 && event.result != worker_call_result::kAccepted &&
-      event.result != worker_call_result::kUnanswered;
-  if (earlier_may_start)
+    return OnWorkerEnded(decision_kind::kWorkerGone);
+  run_evidence evidence = EvidenceOf(run);
+  evidence.start_refused = true;
+  const run_end_proof proof = FindRunEndProof(evidence, now_);
+  if (proof == run_end_proof::kNone)
     return StopRun(run, wire::run_reason::kUnanswered);
-  switch (event.result) {
-    case worker_call_result::kAccepted:
-      return ConfirmStart(run);
+  OnStartRefused(found->first, event.result, proof);
+}
+
+void run_supervisor_impl::OnStartUnanswered(agent_run& run) {
+  ++counters_.unanswered;
+  RecordDecision(decision_kind::kRunUnanswered, run.id.job_key,
+                 {{"task", std::int64_t{run.task}},
+                  {"resends", std::int64_t{run.resends}},
+                  {"age_us", (now_ - run.started).count()}});
+  if (++run.resends <= kMaxResends && MayExtendLease())
+    return SendStart(run);
+  StopRun(run, wire::run_reason::kUnanswered);
+}
+
+// The task may be started again at once: by this agent where only a number was
+// refused, otherwise by another one.
+void run_supervisor_impl::OnStartRefused(std::uint64_t key,
+                                         worker_call_result result,
+                                         run_end_proof proof) {
+  agent_run& run = *runs_.Find(key);
+  switch (result) {
     case worker_call_result::kFenced:
-      RaiseFence();
+      RaiseFence(run.start_fence);
       run.lifecycle.Apply(run_event::kRequeue);
       return;
     case worker_call_result::kSuperseded:
-      run.lifecycle.Apply(run_event::kRequeue);
       if (++run.renumberings > kMaxRenumberings)
-        return RefuseRun(key, wire::run_reason::kWorkerRefused);
+        return RefuseRun(key, wire::run_reason::kWorkerRefused, proof);
+      run.lifecycle.Apply(run_event::kRequeue);
       run.id.run_number += kRenumberStep;
       return;
-    case worker_call_result::kUnanswered:
-      ++counters_.unanswered;
-      RecordDecision(decision_kind::kRunUnanswered, run.id.job_key,
-                     {{"task", std::int64_t{run.task}},
-                      {"resends", std::int64_t{run.resends}},
-                      {"age_us", (now_ - run.started).count()}});
-      if (++run.resends <= kMaxResends && MayExtendLease())
-        return SendStart(run);
-      return StopRun(run, wire::run_reason::kUnanswered);
     case worker_call_result::kNoResources:
-      return RefuseRun(key, wire::run_reason::kNoRoom);
-    case worker_call_result::kTooLate:
-    case worker_call_result::kRejected:
+      return RefuseRun(key, wire::run_reason::kNoRoom, proof);
     case worker_call_result::kOtherIncarnation:
-    case worker_call_result::kUnreachable:
-      return RefuseRun(key, wire::run_reason::kWorkerRefused);
+      worker_->unverified = true;
+      return RefuseRun(key, wire::run_reason::kWorkerRefused, proof);
+    default:
+      return RefuseRun(key, wire::run_reason::kWorkerRefused, proof);
   }
 }
 
 // Ends a run that the worker has not started and will not start.
 void run_supervisor_impl::RefuseRun(std::uint64_t key,
-                                    wire::run_reason reason) {
+                                    wire::run_reason reason,
+                                    run_end_proof proof) {
   agent_run& run = *runs_.Find(key);
   ++counters_.refusals;
   run.started = {};
@@ -132,6 +152,7 @@
                  {{"task", std::int64_t{run.task}},
                   {"attempt", std::int64_t{run.attempt}},
                   {"reason", std::string(wire::Name(reason))},
+                  {"proof", std::string(Name(proof))},
                   {"queued_us", (now_ - run.received).count()},
                   {"start_by_in_us", run.start_by == monotonic_time::min()
                                          ? std::int64_t{0}
@@ -180,13 +201,12 @@
     if (!due)
       continue;
     run.stop_in_flight = true;
+    run.stop_fence = fence_;
     commands_->emplace_back(stop_run{CallTarget(), run.id});
   }
 }
 
 void run_supervisor_impl::OnStopAnswered(stop_answered& event) {
-  if (event.result == worker_call_result::kFenced)
-    RaiseFence();
   auto* found = runs_.FindAtWorker(event.id);
   if (found == nullptr ||
       found->second.lifecycle.phase() != run_phase::kStopping)
@@ -194,12 +214,12 @@
   agent_run& run = found->second;
   run.stop_in_flight = false;
   if (event.result == worker_call_result::kUnreachable)
-    return ForgetWorker(decision_kind::kWorkerGone);
-  if (event.result == worker_call_result::kOtherIncarnation)
-    return ForgetWorker(decision_kind::kWorkerRestarted);
+    return OnWorkerEnded(decision_kind::kWorkerGone);
   if (event.result != worker_call_result::kAccepted) {
+    if (event.result == worker_call_result::kFenced)
+      RaiseFence(run.stop_fence);
     run.next_stop_call = now_ + kStopRetryDelay;
-    return;
+    return SchedulePoll();
   }
   run.stop_accepted = true;
   run.stop_accepted_at = now_;
@@ -208,9 +228,67 @@
 
 // ---- Ends -----------------------------------------------------------------
 
+run_evidence run_supervisor_impl::EvidenceOf(const agent_run& run) const {
+  run_evidence evidence;
+  evidence.start_sent = run.lifecycle.phase() != run_phase::kQueued;
+  evidence.earlier_start_unanswered = run.resends > 0;
+  evidence.start_fence = run.start_fence;
+  evidence.stopping = run.lifecycle.phase() == run_phase::kStopping;
+  if (run.confirmed != monotonic_time{})
+    evidence.confirmed_at = run.confirmed;
+  if (run.stop_accepted)
+    evidence.stop_accepted_at = run.stop_accepted_at;
+  evidence.at_current_life = run.at_current_life;
+  evidence.lease_end = LeaseEnd(run);
+  return evidence;
+}
+
+monotonic_time run_supervisor_impl::LeaseEnd(const agent_run& run) const {
+  if (run.at_current_life || run.lease_confirmed)
+    return lease_.expires_at();
+  return std::max(lease_.expires_at(), lease_.latest_expiry());
+}
+
+void run_supervisor_impl::EndProvenRuns(
+    const std::optional<listed_run>& listed,
+    const std::set<std::uint64_t>& running) {
+  std::vector<std::pair<std::uint64_t, run_end_proof>> ended;
+  for (const auto& [key, run] : runs_.all()) {
+    if (!run.lifecycle.holds_resources())
+      continue;
+    run_evidence evidence = EvidenceOf(run);
+    evidence.listed = listed;
+    if (evidence.listed)
+      evidence.listed->running = running.contains(key);
+    const run_end_proof proof = FindRunEndProof(evidence, now_);
+    if (proof != run_end_proof::kNone)
+      ended.emplace_back(key, proof);
+  }
+  for (const auto& [key, proof] : ended)
+    EndProvenRun(key, proof);
+}
+
+// Ends a run of which the worker did not say how it ended.
+void run_supervisor_impl::EndProvenRun(std::uint64_t key, run_end_proof proof) {
+  const agent_run& run = *runs_.Find(key);
+  const bool never_started =
+      run.confirmed == monotonic_time{} &&
+      run.stop_reason == wire::run_reason::kUnanswered &&
+      (proof == run_end_proof::kStopped || proof == run_end_proof::kFencedOff);
+  if (never_started)
+    return RefuseRun(key, run.stop_reason, proof);
+  wire::run_reason reason = run.stop_reason;
+  if (proof == run_end_proof::kWorkerEnded)
+    reason = wire::run_reason::kWorkerLost;
+  else if (proof == run_end_proof::kLeaseLapsed)
+    reason = wire::run_reason::kLeaseLapsed;
+  EndRun(key, wire::run_end::kLost, reason, proof);
+}
+
 void run_supervisor_impl::EndRun(std::uint64_t key,
                                  wire::run_end end,
-                                 wire::run_reason reason) {
+                                 wire::run_reason reason,
+                                 run_end_proof proof) {
   agent_run& run = *runs_.Find(key);
   ++counters_.ends;
   if (end == wire::run_end::kLost)
@@ -221,37 +299,69 @@
                   {"attempt", std::int64_t{run.attempt}},
                   {"end", std::string(wire::Name(end))},
                   {"reason", std::string(wire::Name(reason))},
+                  {"proof", std::string(Name(proof))},
                   {"ran_us", (now_ - run.started).count()},
                   {"predicted_us", run.predicted.count()}});
   run.lifecycle.Apply(run_event::kEnd);
   runs_.Erase(key);
 }
 
-void run_supervisor_impl::EndAllRunsAsLost(wire::run_reason reason) {
-  std::vector<std::uint64_t> at_worker;
-  for (const auto& [key, run] : runs_.all()) {
-    if (run.lifecycle.holds_resources())
-      at_worker.push_back(key);
-  }
-  for (const std::uint64_t key : at_worker)
-    EndRun(key, wire::run_end::kLost, reason);
-}
-
 // ---- Worker incarnations --------------------------------------------------
 
-void run_supervisor_impl::RaiseFence() {
+// A call with an earlier token than the current one says nothing about the
+// current one.
+void run_supervisor_impl::RaiseFence(std::uint64_t refused) {
+  if (refused < fence_)
+    return;
   fence_ += fence_step_;
   fence_step_ *= 2;
   RecordDecision(decision_kind::kFenceRaised, "",
                  {{"fence", static_cast<std::int64_t>(fence_)}});
 }
 
-// All runs at the worker have ended with it.
-void run_supervisor_impl::ForgetWorker(decision_kind reason) {
-  RecordDecision(reason, "",
+void run_supervisor_impl::OnWorkerEnded(decision_kind reason) {
+  listed_run listed;
+  listed.other_worker = true;
+  EndProvenRuns(listed);
+  ForgetWorker(reason);
+}
+
+// The worker has started again under its id. A start call for its earlier life
+// may have reached the new one, or may still do so. From the first poll with a
+// higher token on, the worker ignores such calls.
+void run_supervisor_impl::OnWorkerRestarted(std::int64_t worker_incarnation) {
+  RecordDecision(decision_kind::kWorkerRestarted, "",
                  {{"worker", worker_->report.id},
+                  {"born_ms", worker_->report.worker_incarnation},
+                  {"new_born_ms", worker_incarnation},
                   {"runs", static_cast<std::int64_t>(runs_.CountAtWorker())}});
-  EndAllRunsAsLost(wire::run_reason::kWorkerLost);
+  listed_run listed;
+  listed.other_life = true;
+  EndProvenRuns(listed);
+  RefuseQueuedRuns(wire::run_reason::kNoWorker);
+  worker_report report = std::move(worker_->report);
+  report.worker_incarnation = worker_incarnation;
+  report.sequence = 0;
+  report.draining = false;
+  worker_.emplace();
+  worker_->last_contact = now_;
+  worker_->described = false;
+  worker_->report = std::move(report);
+  lease_.Reset();
+  orphaned_runs_.clear();
+  ++fence_;
+  for (auto& [key, run] : runs_.all()) {
+    run.stop_accepted = false;
+    StopRun(run, wire::run_reason::kWorkerLost);
+  }
+  ScheduleHeartbeats();
+  if (successor_ && IsSameWorker(successor_->report, worker_->report))
+    ApplyReport(std::exchange(successor_, std::nullopt)->report);
+}
+
+// Requires that no run is left at the worker.
+void run_supervisor_impl::ForgetWorker(decision_kind reason) {
+  RecordDecision(reason, "", {{"worker", worker_->report.id}});
   RefuseQueuedRuns(wire::run_reason::kNoWorker);
   worker_.reset();
   lease_.Reset();
@@ -264,18 +374,25 @@
     AdoptWorker(std::move(successor->report));
 }
 
+bool run_supervisor_impl::HasUsableWorker() const {
+  return worker_ && worker_->described && !worker_silent_;
+}
+
 void run_supervisor_impl::CheckWorker() {
   if (!worker_)
     return;
-  const bool at_worker = runs_.CountAtWorker() > 0;
-  if (at_worker && now_ > lease_.expires_at()) {
-    RecordDecision(decision_kind::kLeaseLapsed, "",
-                   {{"worker", worker_->report.id},
-                    {"late_us", (now_ - lease_.expires_at()).count()}});
-    EndAllRunsAsLost(wire::run_reason::kLeaseLapsed);
+  const std::size_t at_worker = runs_.CountAtWorker();
+  if (at_worker > 0 && now_ > lease_.expires_at()) {
+    EndProvenRuns(std::nullopt);
+    if (runs_.CountAtWorker() < at_worker) {
+      RecordDecision(decision_kind::kLeaseLapsed, "",
+                     {{"worker", worker_->report.id},
+                      {"late_us", (now_ - lease_.expires_at()).count()}});
+    }
   }
-  const bool replaced =
-      successor_ && worker_silent_ && runs_.CountAtWorker() == 0;
+  if (runs_.CountAtWorker() > 0)
+    return;
+  const bool replaced = successor_ && worker_silent_;
   if (replaced ||
       now_ - worker_->last_contact > options_.worker_report_timeout) {
     ForgetWorker(decision_kind::kWorkerGone);
--- a/src/scheduler/run_table.h
+++ b/src/scheduler/run_table.h
@@ -33,10 +33,21 @@
   monotonic_time started{};    // Time of the first start call.
   monotonic_time confirmed{};  // When the worker first confirmed the run.
   std::uint32_t resends = 0;   // Repetitions of the start call.
+  std::uint64_t start_fence = 0;  // Token of the last start call.
+  // When the last start call was answered or given up.
+  monotonic_time start_resolved = monotonic_time::max();
+  milliseconds lease_until{0};  // Requested by the last start call.
+  // The worker's answer to the start call shows that the run's lease ends with
+  // that of the life that the agent follows.
+  bool lease_confirmed = false;
+  // The worker life that the agent follows has answered a poll sent after
+  // `start_resolved`, so that no start call can reach a later life.
+  bool at_current_life = false;
   std::uint32_t renumberings = 0;
   std::uint32_t percent = 0;
   monotonic_time last_progress{};
   bool stop_in_flight = false;
+  std::uint64_t stop_fence = 0;  // Token of the last stop call.
   bool stop_accepted = false;
   monotonic_time stop_requested{};
   monotonic_time next_stop_call{};
--- a/src/scheduler/tests/run_supervisor_test.cc
+++ b/src/scheduler/tests/run_supervisor_test.cc
@@ -20,6 +20,14 @@
     driver_.AnswerStart(supervisor_driver::RunId(task));
   }
 
+  // Reports a restart of the worker under its id, which polls confirm.
+  void RestartWorker(std::int64_t worker_incarnation) {
+    driver_.AdvanceTime(milliseconds(5));
+    driver_.Handle(supervisor_driver::WorkerReport(worker_incarnation));
+    driver_.AnswerPoll({}, {}, worker_incarnation);
+    driver_.AnswerPoll({}, {}, worker_incarnation);
+  }
+
   // Advances the clock while entries answer heartbeats and polls fail.
   void AdvanceWithoutPollAnswers(microseconds time) {
     constexpr milliseconds kStep{25};
@@ -406,6 +414,10 @@
   EXPECT_FALSE(driver.core->gauges().has_worker);
   driver.Handle(supervisor_driver::WorkerReport(2000));
   EXPECT_TRUE(driver.core->gauges().has_worker);
+  driver.AnswerPoll({}, {}, 2000);
+  driver.AnswerHeartbeats();
+  driver.Dispatch(0);
+  EXPECT_EQ(driver.Commands<start_run>().size(), 1U);
 }
 
 // Guards against a fencing token that stays below that of an earlier
@@ -497,16 +509,111 @@
 // Guards against a delayed report of an earlier worker incarnation that
 // replaces the current one.
 TEST_F(RunSupervisor, IgnoresReportsOfEarlierWorkerIncarnation) {
-  driver_.AdvanceTime(milliseconds(5));
-  driver_.Handle(supervisor_driver::WorkerReport(2000));
-  driver_.AnswerPoll({}, {}, 2000);
-  driver_.AnswerPoll({}, {}, 2000);
+  RestartWorker(2000);
   StartConfirmedRun(0);
+  driver_.AdvanceTime(milliseconds(5));
   driver_.Handle(supervisor_driver::WorkerReport(1000, 9));
+  driver_.AnswerPoll({{supervisor_driver::RunId(0), 10}}, {}, 2000);
+  driver_.AnswerPoll({{supervisor_driver::RunId(0), 20}}, {}, 2000);
   EXPECT_TRUE(driver_.Reports().empty());
   EXPECT_EQ(driver_.core->gauges().running, 1U);
 }
 
+// Guards against ignoring a restarted worker because the time of day was set
+// back, so that it reports an earlier birth than its last life. Tasks were then
+// started on the new life in the name of the old one.
+TEST_F(RunSupervisor, FollowsRestartedWorkerThatIsBornEarlier) {
+  RestartWorker(500);
+  driver_.AnswerHeartbeats();
+  EXPECT_EQ(driver_.LastHeartbeatNamesWorker(0), true);
+  StartConfirmedRun(0);
+  driver_.AdvanceTime(milliseconds(5));
+  driver_.AnswerPoll({{supervisor_driver::RunId(0), 10}}, {}, 500);
+  driver_.AnswerPoll({}, {{1, supervisor_driver::RunId(0), run_end::kDone}},
+                     500);
+  ASSERT_EQ(driver_.Reports().size(), 1U);
+  EXPECT_EQ(driver_.Reports()[0].end, run_end::kDone);
+}
+
+// Guards against starting tasks while a report suggests that the worker has
+// started again, as both lives accept calls for its id.
+TEST_F(RunSupervisor, StartsNothingUntilReportedRestartIsVerified) {
+  driver_.AdvanceTime(milliseconds(5));
+  driver_.Handle(supervisor_driver::WorkerReport(500));
+  driver_.Dispatch(0);
+  EXPECT_TRUE(driver_.Commands<start_run>().empty());
+  driver_.AnswerPoll({});
+  EXPECT_EQ(driver_.Commands<start_run>().size(), 1U);
+}
+
+// Guards against giving up a run that was started on a life of the worker of
+// which the agent did not know. It ran on beside its next run.
+TEST_F(RunSupervisor, StopsRunThatStartedOnAnUnknownLife) {
+  StartConfirmedRun(0);
+  const auto fence = driver_.Commands<start_run>()[0].target.fence;
+  driver_.AdvanceTime(milliseconds(5));
+  driver_.AnswerPoll({{supervisor_driver::RunId(0), 10}}, {}, 2000);
+  EXPECT_TRUE(driver_.Reports().empty());
+  ASSERT_EQ(driver_.Commands<stop_run>().size(), 1U);
+  EXPECT_GT(driver_.Commands<stop_run>()[0].target.fence, fence);
+  driver_.AdvanceTime(milliseconds(5));
+  driver_.AnswerPoll({{supervisor_driver::RunId(0), 10}}, {}, 2000);
+  EXPECT_TRUE(driver_.Reports().empty());
+  driver_.AnswerPoll({}, {{1, supervisor_driver::RunId(0), run_end::kLost}},
+                     2000);
+  ASSERT_EQ(driver_.Reports().size(), 1U);
+  EXPECT_EQ(driver_.Reports()[0].end, run_end::kLost);
+}
+
+// Guards against waiting for a run that the earlier life took with it, and
+// against reporting it as not run.
+TEST_F(RunSupervisor, ReportsRunOfUnknownLifeOnceStartIsFencedOff) {
+  StartConfirmedRun(0);
+  driver_.AdvanceTime(milliseconds(5));
+  driver_.AnswerPoll({}, {}, 2000);
+  EXPECT_TRUE(driver_.Reports().empty());
+  EXPECT_GT(driver_.Commands<poll_worker>().back().target.fence,
+            driver_.Commands<start_run>()[0].target.fence);
+  driver_.AdvanceTime(milliseconds(5));
+  driver_.AnswerPoll({}, {}, 2000);
+  ASSERT_EQ(driver_.Reports().size(), 1U);
+  EXPECT_EQ(driver_.Reports()[0].end, run_end::kLost);
+}
+
+// Guards against a late start call that reaches the new life of a worker after
+// its task was given up: until the new life knows a higher token than that of
+// the call, nothing is reported and nothing starts.
+TEST_F(RunSupervisor, ReconcilesRestartedWorkerWithAHigherFence) {
+  driver_.Dispatch(0);
+  driver_.AdvanceTime(milliseconds(5));
+  driver_.AnswerPoll({}, {}, 2000);
+  driver_.AnswerStart(supervisor_driver::RunId(0),
+                      worker_call_result::kUnanswered);
+  EXPECT_TRUE(driver_.Reports().empty());
+  driver_.Dispatch(1);
+  EXPECT_EQ(driver_.Commands<start_run>().size(), 1U);
+  EXPECT_EQ(driver_.LastSettled(0), false);
+  driver_.AnswerPoll({}, {}, 2000);
+  driver_.AnswerHeartbeats();
+  EXPECT_EQ(driver_.LastSettled(0), true);
+  EXPECT_EQ(driver_.Reports().size(), 2U);
+}
+
+// Guards against waiting for the runs of an earlier life at the address where a
+// later one answers.
+TEST_F(RunSupervisor, ReportsRunsOfEarlierLifeAtOnce) {
+  StartConfirmedRun(0);
+  driver_.AdvanceTime(milliseconds(35));
+  driver_.AnswerPoll({{supervisor_driver::RunId(0), 10}});
+  driver_.AdvanceTime(milliseconds(35));
+  driver_.AnswerPoll({{supervisor_driver::RunId(0), 20}});
+  driver_.AdvanceTime(milliseconds(35));
+  driver_.AnswerPoll({}, {}, 2000);
+  ASSERT_EQ(driver_.Reports().size(), 1U);
+  EXPECT_EQ(driver_.Reports()[0].end, run_end::kLost);
+  EXPECT_EQ(driver_.Reports()[0].reason, run_reason::kWorkerLost);
+}
+
 // Guards against giving up the runs of a worker because one odd report names
 // another one. The entries started the tasks elsewhere while they ran on.
 TEST_F(RunSupervisor, KeepsWorkerThatAnswersWhenAnotherIsReported) {
--- a/src/scheduler/worker_lease.cc
+++ b/src/scheduler/worker_lease.cc
@@ -12,7 +12,6 @@
 
 void worker_lease::Reset() {
   clock_.reset();
-  expires_at_ = {};
 }
 
 void worker_lease::ObserveClock(milliseconds worker_clock, monotonic_time now) {
@@ -26,8 +25,10 @@
   const auto worker_now =
       clock_->worker_clock + std::chrono::duration_cast<milliseconds>(
                                  Scale(now - clock_->at, 1 - drift_));
-  const microseconds max_duration = Scale(length_, 1 / (1 - drift_));
-  expires_at_ = std::max(expires_at_, now + max_duration + kExpiryMargin);
+  const double slowest = 1 / (1 - drift_);
+  expires_at_ =
+      std::max(expires_at_, now + Scale(length_, slowest) + kExpiryMargin);
+  latest_expiry_ = now + Scale(longest_, slowest) + kExpiryMargin;
   return worker_now + length_;
 }
 
