Wait for the lease of a worker that cannot be reached

The entries log task_lost reason=worker_lost with ages of 15 to 180 ms.

Cause: an agent took a failed connection to its worker for the end of the worker's process, and a deregistration, which any process can send, for the end of its runs. It reported all runs as lost and forgot the worker. Connections also fail by a reset, a refusal during a cut, a full backlog, or a lack of ports or descriptors.

What made the connections fail on the operators' machines is not known.

Change: a failed connection shows that the call was not sent and nothing else. The worker is silent from then on: queued tasks are returned, nothing starts, the lease is not renewed, and it is polled. Its runs go on if it answers, and end when another life answers at its address or the lease has lapsed. A deregistered worker starts nothing and is forgotten when nothing is left at it. worker_silent logs the life, the failed call, the system's error and the rest of the lease.

--- a/src/include/egretrack/scheduler/decision_record.h
+++ b/src/include/egretrack/scheduler/decision_record.h
@@ -39,6 +39,7 @@
   kRunStalled,
   kWorkerAppeared,
   kWorkerDraining,
+  kWorkerDeregistered,
   kWorkerGone,
   kWorkerRestarted,
   kOtherWorkerReported,   // Not adopted while the current worker answers.
--- a/src/include/egretrack/scheduler/run_supervisor.h
+++ b/src/include/egretrack/scheduler/run_supervisor.h
@@ -71,8 +71,8 @@
   kTooLate,     // The lease had expired.
   kNoResources,
   kRejected,  // Malformed call or unhealthy worker; the call had no effect.
-  kOtherIncarnation,  // Another worker incarnation answered.
-  kUnreachable,       // Connection refused: the worker process has ended.
+  kOtherIncarnation,  // A worker with another id answered.
+  kUnreachable,       // No connection: the call was not sent.
   kUnanswered,        // The call may have taken effect, or may still do so.
 };
 
@@ -80,10 +80,12 @@
   run_id id;
   worker_call_result result = worker_call_result::kUnanswered;
   std::optional<milliseconds> worker_clock;  // If kAccepted.
+  std::string failure;  // Of a call without an answer, for the log.
 };
 struct stop_answered {
   run_id id;
   worker_call_result result = worker_call_result::kUnanswered;
+  std::string failure;
 };
 
 struct running_row {
@@ -102,6 +104,7 @@
   milliseconds worker_clock{0};
   std::vector<running_row> running;
   std::vector<ended_row> ended;
+  std::string failure;
 };
 
 // Entries that the agent may connect to, read from the settings or the store.
--- a/src/job_agent/worker_client.cc
+++ b/src/job_agent/worker_client.cc
@@ -34,8 +34,7 @@
 void worker_client::Stop(const scheduler::stop_run& command) {
   Call(command.target, platform::EncodeStop(command), kCallTimeout,
        [id = command.id](const net::http_reply& reply) {
-         return scheduler::stop_answered{
-             id, platform::DecodeWorkerCallResult(reply)};
+         return platform::DecodeStop(id, reply);
        });
 }
 
--- a/src/scheduler/decision_record.cc
+++ b/src/scheduler/decision_record.cc
@@ -38,6 +38,7 @@
                 {"run_stalled", true},
                 {"worker_appeared", false},
                 {"worker_draining", false},
+                {"worker_deregistered", true},
                 {"worker_gone", true},
                 {"worker_restarted", true},
                 {"other_worker_reported", true},
--- a/src/scheduler/run_supervisor.cc
+++ b/src/scheduler/run_supervisor.cc
@@ -210,8 +210,10 @@
 
 void run_supervisor_impl::ApplyReport(worker_report report) {
   worker_->last_contact = now_;
-  if (!std::exchange(worker_->described, true))
+  if (!worker_->described || worker_->leaving)
     ScheduleHeartbeats();
+  worker_->described = true;
+  worker_->leaving = false;
   if (report.draining && !worker_->draining) {
     worker_->draining = true;
     RecordDecision(decision_kind::kWorkerDraining, "", {{"worker", report.id}});
@@ -250,8 +252,16 @@
 }
 
 void run_supervisor_impl::OnWorkerDeregistered(worker_deregistered& event) {
-  if (worker_ && worker_->report.id == event.id)
-    OnWorkerEnded(decision_kind::kWorkerGone);
+  if (!worker_ || worker_->report.id != event.id)
+    return;
+  // The worker says that it ends, not that its runs have ended. Any process can
+  // send this call.
+  worker_->leaving = true;
+  RecordDecision(decision_kind::kWorkerDeregistered, "",
+                 {{"worker", worker_->report.id},
+                  {"runs", static_cast<std::int64_t>(runs_.CountAtWorker())}});
+  RefuseQueuedRuns(wire::run_reason::kNoWorker);
+  ScheduleHeartbeats();
 }
 
 void run_supervisor_impl::OnEntriesDiscovered(entries_discovered& event) {
--- a/src/scheduler/run_supervisor_impl.h
+++ b/src/scheduler/run_supervisor_impl.h
@@ -23,6 +23,7 @@
   worker_report report;
   monotonic_time last_contact{};
   bool draining = false;
+  bool leaving = false;  // Has deregistered.
   // Latest end sequence received from the worker.
   std::uint64_t last_end_seen = 0;
   // Latest end sequence acknowledged to the worker.
@@ -146,13 +147,13 @@
               wire::run_end end,
               wire::run_reason reason,
               run_end_proof proof);
-  void OnStartUnanswered(agent_run& run);
+  void OnStartUnanswered(agent_run& run, std::string_view failure);
   void OnStartRefused(std::uint64_t key,
                       worker_call_result result,
                       run_end_proof proof);
   void ConfirmStart(agent_run& run);
   void ForgetWorker(decision_kind reason);
-  void OnWorkerEnded(decision_kind reason);
+  void OnWorkerEnded();
   void OnWorkerRestarted(std::int64_t worker_incarnation);
   bool HasUsableWorker() const;
   // Raises the fencing token if it is the one that the worker refused.
@@ -163,7 +164,9 @@
   // ---- run_supervisor_polls.cc: polls of the worker's runs -----------------
   void PollWorker();
   void SchedulePoll();
-  void CountUnansweredPoll();
+  milliseconds PollRetryDelay(worker_call_result failure) const;
+  void CountUnansweredPoll(std::string_view failure);
+  void MarkWorkerSilent(std::string_view call, std::string_view failure);
   bool NeedsPoll() const;
   bool MayExtendLease() const;
   void ApplyEnded(const std::vector<ended_row>& ended);
@@ -191,8 +194,8 @@
   monotonic_time next_poll_{};
   std::uint32_t unanswered_polls_ = 0;  // Consecutive.
   monotonic_time first_unanswered_poll_{};
-  // Too many consecutive polls got no response, so the worker's state is
-  // unknown.
+  // The worker's state is unknown: a connection to it failed, or too many
+  // consecutive polls got no response.
   bool worker_silent_ = false;
   bool draining_ = false;
   bool drained_ = false;
--- a/src/scheduler/run_supervisor_polls.cc
+++ b/src/scheduler/run_supervisor_polls.cc
@@ -99,14 +99,15 @@
       break;
     case worker_call_result::kFenced:
       return RaiseFence(poll_fence_);
-    case worker_call_result::kUnreachable:
-      return OnWorkerEnded(decision_kind::kWorkerGone);
     case worker_call_result::kOtherIncarnation:
-      return OnWorkerEnded(decision_kind::kWorkerRestarted);
+      return OnWorkerEnded();
+    case worker_call_result::kUnreachable:
+      MarkWorkerSilent("poll", event.failure);
+      next_poll_ = now_ + PollRetryDelay(event.result);
+      return;
     default:
-      CountUnansweredPoll();
-      next_poll_ =
-          now_ + (worker_silent_ ? kSilentPollRetryDelay : kPollRetryDelay);
+      CountUnansweredPoll(event.failure);
+      next_poll_ = now_ + PollRetryDelay(event.result);
       return;
   }
   if (event.worker_incarnation != worker_->report.worker_incarnation) {
@@ -135,19 +136,39 @@
   }
 }
 
-// Nothing can be started on a silent worker, so queued runs are returned and
-// heartbeats name no worker until a poll is answered again.
-void run_supervisor_impl::CountUnansweredPoll() {
+// Runs whose worker cannot be reached wait for the lease to lapse, or for a new
+// life of the worker to answer, which shows their end sooner.
+milliseconds run_supervisor_impl::PollRetryDelay(
+    worker_call_result failure) const {
+  const bool runs_wait =
+      failure == worker_call_result::kUnreachable && runs_.CountAtWorker() > 0;
+  return worker_silent_ && !runs_wait ? kSilentPollRetryDelay : kPollRetryDelay;
+}
+
+void run_supervisor_impl::CountUnansweredPoll(std::string_view failure) {
   if (unanswered_polls_ == 0)
     first_unanswered_poll_ = poll_sent_at_;
   ++unanswered_polls_;
-  const bool silent = unanswered_polls_ >= kMaxUnansweredPolls &&
-                      now_ - first_unanswered_poll_ >= kWorkerSilenceTimeout;
-  if (worker_silent_ || !silent)
+  if (unanswered_polls_ >= kMaxUnansweredPolls &&
+      now_ - first_unanswered_poll_ >= kWorkerSilenceTimeout) {
+    MarkWorkerSilent("poll", failure);
+  }
+}
+
+// Nothing can be started on a silent worker, so queued runs are returned and
+// heartbeats name no worker until a poll is answered again. What runs there may
+// go on, so the lease is no longer renewed.
+void run_supervisor_impl::MarkWorkerSilent(std::string_view call,
+                                           std::string_view failure) {
+  if (std::exchange(worker_silent_, true))
     return;
-  worker_silent_ = true;
+  next_poll_ = now_;
   RecordDecision(decision_kind::kWorkerSilent, "",
                  {{"worker", worker_->report.id},
+                  {"born_ms", worker_->report.worker_incarnation},
+                  {"call", std::string(call)},
+                  {"error", std::string(failure)},
+                  {"runs", static_cast<std::int64_t>(runs_.CountAtWorker())},
                   {"lease_left_us", (lease_.expires_at() - now_).count()}});
   RefuseQueuedRuns(wire::run_reason::kNoWorker);
   ScheduleHeartbeats();
--- a/src/scheduler/run_supervisor_worker.cc
+++ b/src/scheduler/run_supervisor_worker.cc
@@ -91,9 +91,9 @@
   if (event.result == worker_call_result::kAccepted)
     return ConfirmStart(run);
   if (event.result == worker_call_result::kUnanswered)
-    return OnStartUnanswered(run);
+    return OnStartUnanswered(run, event.failure);
   if (event.result == worker_call_result::kUnreachable)
-    return OnWorkerEnded(decision_kind::kWorkerGone);
+    MarkWorkerSilent("start", event.failure);
   run_evidence evidence = EvidenceOf(run);
   evidence.start_refused = true;
   const run_end_proof proof = FindRunEndProof(evidence, now_);
@@ -102,11 +102,13 @@
   OnStartRefused(found->first, event.result, proof);
 }
 
-void run_supervisor_impl::OnStartUnanswered(agent_run& run) {
+void run_supervisor_impl::OnStartUnanswered(agent_run& run,
+                                            std::string_view failure) {
   ++counters_.unanswered;
   RecordDecision(decision_kind::kRunUnanswered, run.id.job_key,
                  {{"task", std::int64_t{run.task}},
                   {"resends", std::int64_t{run.resends}},
+                  {"error", std::string(failure)},
                   {"age_us", (now_ - run.started).count()}});
   if (++run.resends <= kMaxResends && MayExtendLease())
     return SendStart(run);
@@ -132,6 +134,8 @@
       return;
     case worker_call_result::kNoResources:
       return RefuseRun(key, wire::run_reason::kNoRoom, proof);
+    case worker_call_result::kUnreachable:
+      return RefuseRun(key, wire::run_reason::kNoWorker, proof);
     case worker_call_result::kOtherIncarnation:
       worker_->unverified = true;
       return RefuseRun(key, wire::run_reason::kWorkerRefused, proof);
@@ -214,7 +218,7 @@
   agent_run& run = found->second;
   run.stop_in_flight = false;
   if (event.result == worker_call_result::kUnreachable)
-    return OnWorkerEnded(decision_kind::kWorkerGone);
+    MarkWorkerSilent("stop", event.failure);
   if (event.result != worker_call_result::kAccepted) {
     if (event.result == worker_call_result::kFenced)
       RaiseFence(run.stop_fence);
@@ -319,11 +323,12 @@
                  {{"fence", static_cast<std::int64_t>(fence_)}});
 }
 
-void run_supervisor_impl::OnWorkerEnded(decision_kind reason) {
+// A worker with another id answers at the address.
+void run_supervisor_impl::OnWorkerEnded() {
   listed_run listed;
   listed.other_worker = true;
   EndProvenRuns(listed);
-  ForgetWorker(reason);
+  ForgetWorker(decision_kind::kWorkerRestarted);
 }
 
 // The worker has started again under its id. A start call for its earlier life
@@ -375,7 +380,7 @@
 }
 
 bool run_supervisor_impl::HasUsableWorker() const {
-  return worker_ && worker_->described && !worker_silent_;
+  return worker_ && worker_->described && !worker_->leaving && !worker_silent_;
 }
 
 void run_supervisor_impl::CheckWorker() {
@@ -392,9 +397,10 @@
   }
   if (runs_.CountAtWorker() > 0)
     return;
-  const bool replaced = successor_ && worker_silent_;
-  if (replaced ||
-      now_ - worker_->last_contact > options_.worker_report_timeout) {
+  const bool ended = (successor_ && worker_silent_) ||
+                     (worker_->leaving &&
+                      worker_->last_end_seen == worker_->last_end_acknowledged);
+  if (ended || now_ - worker_->last_contact > options_.worker_report_timeout) {
     ForgetWorker(decision_kind::kWorkerGone);
   }
 }
--- a/src/soak/deployment.cc
+++ b/src/soak/deployment.cc
@@ -18,6 +18,7 @@
 constexpr milliseconds kStopGrace{6500};
 constexpr seconds kStartTimeout{10};
 constexpr milliseconds kPollInterval{20};
+constexpr milliseconds kReportTimeout{500};
 // The deadlines of successive configuration versions cycle through
 // kDeadlineCount values, so that each version differs from the one before.
 constexpr milliseconds kMinDeadline{1400};
@@ -49,6 +50,7 @@
       entries_(static_cast<std::size_t>(options_.entry_count)),
       agents_(static_cast<std::size_t>(options_.agent_count)),
       workers_(static_cast<std::size_t>(options_.agent_count)),
+      client_(net::http_client::Create({})),
       report_ports_(static_cast<std::size_t>(options_.agent_count)),
       jobs_ports_(static_cast<std::size_t>(options_.entry_count)) {}
 
@@ -153,13 +155,15 @@
   return {};
 }
 
-void deployment::StartWorker(int number) {
+void deployment::StartWorker(int number, milliseconds birth_offset) {
   const auto index = static_cast<std::size_t>(number);
   workers_[index].reset();
   standins::worker_options options;
   options.number = number;
   options.desk = std::string(kDesk);
   options.advertised = Address(agents_[index].fault_relay->port());
+  options.birth_offset = birth_offset;
+  options.keeps_id = options_.workers_keep_ids;
   options.random_seed = options_.seed * 1000 + index;
   auto started = standins::lease_worker::Start(options, history_);
   if (!started) {
@@ -180,6 +184,25 @@
   workers_[index].reset();
 }
 
+void deployment::SendOddReport(int number, bool worker_id) {
+  const auto index = static_cast<std::size_t>(number);
+  if (report_ports_[index] == 0)
+    return;
+  const std::string id = worker_id ? "w" + std::to_string(number) : "odd";
+  net::http_request request;
+  request.method = "POST";
+  request.target = "/instances/" + id + "/heartbeat";
+  request.body =
+      R"({"service":"unknown","addr":")" + Address(store_relay_->port()) +
+      R"(","state":"ready","seq":1,"born":)" +
+      std::to_string(
+          std::chrono::duration_cast<milliseconds>(WallNow().time_since_epoch())
+              .count()) +
+      R"(,"capacity":{"cpu":16000,"mem_mb":32768}})";
+  client_->Call({"127.0.0.1", report_ports_[index]}, std::move(request),
+                kReportTimeout, [](const net::http_reply&) {});
+}
+
 // Another writer's rows must neither end a process nor hide the valid rows.
 void deployment::PutInvalidRows() {
   constexpr std::size_t kDepth = 10'000;
@@ -298,6 +321,7 @@
     for (daemon& target : *group) {
       target.fault_relay->BlackholeNewConnections(false);
       target.fault_relay->SetDelay(milliseconds(0));
+      target.fault_relay->RefuseConnections(false);
       if (target.paused)
         target.paused_until = now;
       if (target.restart_at && !target.kill_at)
--- a/src/soak/deployment.h
+++ b/src/soak/deployment.h
@@ -24,6 +24,7 @@
   int entry_count = 3;
   int agent_count = 4;
   std::uint64_t seed = 1;
+  bool workers_keep_ids = false;
 };
 
 // An entry or agent process, and the relay that disturbs its connections.
@@ -63,8 +64,11 @@
   void Terminate(daemon& target, monotonic_time now, milliseconds down_time);
   // Ends the worker, cuts its connections and refuses new ones.
   void CrashWorker(int number);
-  // Replaces the worker with a new incarnation.
-  void StartWorker(int number);
+  // Replaces the worker with a new incarnation, which gives a time of birth
+  // that is off by `birth_offset`.
+  void StartWorker(int number, milliseconds birth_offset = milliseconds(0));
+  // Sends the agent a report of a worker that does not exist.
+  void SendOddReport(int number, bool worker_id);
   // Publishes a new configuration version with another deadline.
   void PublishConfiguration();
   // Ends all injected faults, and resumes or restarts everything that is down.
@@ -100,6 +104,7 @@
   std::vector<daemon> entries_;
   std::vector<daemon> agents_;
   std::vector<std::unique_ptr<standins::lease_worker>> workers_;
+  std::unique_ptr<net::http_client> client_;
   std::vector<std::uint16_t> report_ports_;  // By agent; 0 if not known.
   mutable std::mutex mutex_;
   std::vector<std::uint16_t> jobs_ports_;  // By entry; guarded by mutex_.
--- a/src/soak/faults.cc
+++ b/src/soak/faults.cc
@@ -1,6 +1,6 @@
 #include "soak/faults.h"
 
-#include <array>
+#include <algorithm>
 #include <utility>
 
 namespace egretrack::soak {
@@ -13,10 +13,48 @@
 
 }  // namespace
 
-fault_injector::fault_injector(deployment& system, std::uint64_t seed)
+const std::array<fault_injector::fault_kind, 26> fault_injector::kFaultKinds{{
+    fault_kind{"kill_entry", &fault_injector::KillEntry},
+    fault_kind{"kill_agent", &fault_injector::KillAgent},
+    fault_kind{"restart_entry", &fault_injector::RestartEntry},
+    fault_kind{"pause_entry", &fault_injector::PauseEntry},
+    fault_kind{"pause_agent", &fault_injector::PauseAgent},
+    fault_kind{"terminate_entry", &fault_injector::TerminateEntry},
+    fault_kind{"terminate_agent", &fault_injector::TerminateAgent},
+    fault_kind{"kill_all", &fault_injector::KillAll},
+    fault_kind{"cut_entry", &fault_injector::CutEntry},
+    fault_kind{"silence_entry", &fault_injector::SilenceEntry},
+    fault_kind{"block_entry", &fault_injector::BlockEntry},
+    fault_kind{"delay_entry", &fault_injector::DelayEntry},
+    fault_kind{"delay_worker", &fault_injector::DelayWorker},
+    fault_kind{"cut_worker", &fault_injector::CutWorker},
+    fault_kind{"refuse_worker", &fault_injector::RefuseWorker},
+    fault_kind{"disturb_store", &fault_injector::DisturbStore},
+    fault_kind{"forget_history", &fault_injector::ForgetHistory},
+    fault_kind{"publish", &fault_injector::PublishConfiguration},
+    fault_kind{"crash_worker", &fault_injector::CrashWorker},
+    fault_kind{"restart_worker", &fault_injector::RestartWorker},
+    fault_kind{"odd_report", &fault_injector::OddReport},
+    fault_kind{"late_orders", &fault_injector::LateWorkerCalls},
+    fault_kind{"lose_answers", &fault_injector::LoseAnswers},
+    fault_kind{"fail_runs", &fault_injector::FailRuns},
+    fault_kind{"slow_worker", &fault_injector::SlowWorker},
+    fault_kind{"stall_worker", &fault_injector::StallWorker},
+}};
+
+fault_injector::fault_injector(deployment& system,
+                               std::uint64_t seed,
+                               std::span<const std::string> selected)
     : system_(system),
       random_(seed),
-      next_fault_at_(monotonic_clock::now() + kFirstFaultDelay) {}
+      next_fault_at_(monotonic_clock::now() + kFirstFaultDelay) {
+  for (const fault_kind& kind : kFaultKinds) {
+    if (selected.empty() ||
+        std::ranges::find(selected, kind.name) != selected.end()) {
+      selected_.push_back(&kind);
+    }
+  }
+}
 
 int fault_injector::RandomInt(int low, int high) {
   return std::uniform_int_distribution<int>(low, high)(random_);
@@ -52,36 +90,8 @@
     return;
   next_fault_at_ =
       now + RandomDuration(kMinFaultIntervalMs, kMaxFaultIntervalMs);
-  struct fault_kind {
-    const char* name;
-    inject_function inject;
-  };
-  static constexpr std::array kFaultKinds{
-      fault_kind{"kill_entry", &fault_injector::KillEntry},
-      fault_kind{"kill_agent", &fault_injector::KillAgent},
-      fault_kind{"pause_entry", &fault_injector::PauseEntry},
-      fault_kind{"pause_agent", &fault_injector::PauseAgent},
-      fault_kind{"terminate_entry", &fault_injector::TerminateEntry},
-      fault_kind{"terminate_agent", &fault_injector::TerminateAgent},
-      fault_kind{"kill_all", &fault_injector::KillAll},
-      fault_kind{"cut_entry", &fault_injector::CutEntry},
-      fault_kind{"silence_entry", &fault_injector::SilenceEntry},
-      fault_kind{"block_entry", &fault_injector::BlockEntry},
-      fault_kind{"delay_entry", &fault_injector::DelayEntry},
-      fault_kind{"delay_worker", &fault_injector::DelayWorker},
-      fault_kind{"cut_worker", &fault_injector::CutWorker},
-      fault_kind{"disturb_store", &fault_injector::DisturbStore},
-      fault_kind{"forget_history", &fault_injector::ForgetHistory},
-      fault_kind{"publish", &fault_injector::PublishConfiguration},
-      fault_kind{"crash_worker", &fault_injector::CrashWorker},
-      fault_kind{"late_orders", &fault_injector::LateWorkerCalls},
-      fault_kind{"lose_answers", &fault_injector::LoseAnswers},
-      fault_kind{"fail_runs", &fault_injector::FailRuns},
-      fault_kind{"slow_worker", &fault_injector::SlowWorker},
-      fault_kind{"stall_worker", &fault_injector::StallWorker},
-  };
-  const fault_kind& chosen = kFaultKinds[static_cast<std::size_t>(
-      RandomInt(0, static_cast<int>(kFaultKinds.size()) - 1))];
+  const fault_kind& chosen = *selected_[static_cast<std::size_t>(
+      RandomInt(0, static_cast<int>(selected_.size()) - 1))];
   injected_.emplace_back(chosen.name);
   (this->*chosen.inject)(now);
 }
@@ -93,6 +103,21 @@
     system_.Kill(*entry, now, RandomDuration(100, 1500));
 }
 
+// Within the time after which an agent takes the entry for silent, several
+// times.
+void fault_injector::RestartEntry(monotonic_time now) {
+  daemon* entry = PickRunning(system_.entries());
+  if (entry == nullptr)
+    return;
+  const int restarts = RandomInt(1, 3);
+  for (int restart = 0; restart < restarts; ++restart) {
+    ScheduleAt(now + restart * RandomDuration(100, 400), [this, entry] {
+      if (!entry->restart_at && !entry->kill_at && !entry->paused)
+        system_.Kill(*entry, monotonic_clock::now(), milliseconds(0));
+    });
+  }
+}
+
 void fault_injector::KillAgent(monotonic_time now) {
   if (daemon* agent = PickRunning(system_.agents()))
     system_.Kill(*agent, now, RandomDuration(100, 1500));
@@ -179,6 +204,24 @@
       .fault_relay->CloseConnections();
 }
 
+// The worker goes on running its tasks while the agent cannot connect to it.
+void fault_injector::RefuseWorker(monotonic_time now) {
+  standins::relay* relay =
+      system_.agents()[static_cast<std::size_t>(PickWorker())]
+          .fault_relay.get();
+  const int cuts = RandomInt(1, 12);
+  const milliseconds interval = RandomDuration(100, 250);
+  const milliseconds duration = RandomDuration(20, 80);
+  for (int cut = 0; cut < cuts; ++cut) {
+    ScheduleAt(now + cut * interval, [relay] {
+      relay->RefuseConnections(true);
+      relay->ResetConnections();
+    });
+    ScheduleAt(now + cut * interval + duration,
+               [relay] { relay->RefuseConnections(false); });
+  }
+}
+
 // ---- Store ----------------------------------------------------------------
 
 void fault_injector::DisturbStore(monotonic_time now) {
@@ -213,6 +256,23 @@
   });
 }
 
+// The time of day of the worker's machine may have been set back meanwhile.
+void fault_injector::RestartWorker(monotonic_time now) {
+  const int number = PickWorker();
+  if (system_.worker(number) == nullptr)
+    return;
+  system_.CrashWorker(number);
+  const milliseconds birth_offset = RandomDuration(-3000, 0);
+  ScheduleAt(now + RandomDuration(0, 100), [this, number, birth_offset] {
+    if (system_.worker(number) == nullptr)
+      system_.StartWorker(number, birth_offset);
+  });
+}
+
+void fault_injector::OddReport(monotonic_time /*now*/) {
+  system_.SendOddReport(PickWorker(), RandomInt(0, 1) == 1);
+}
+
 void fault_injector::SetWorkerFaults(int worker,
                                      const standins::worker_faults& faults,
                                      monotonic_time now) {
--- a/src/soak/faults.h
+++ b/src/soak/faults.h
@@ -1,10 +1,12 @@
 #ifndef EGRETRACK_SOAK_FAULTS_H_
 #define EGRETRACK_SOAK_FAULTS_H_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <queue>
 #include <random>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -17,7 +19,10 @@
 // alone.
 class fault_injector {
  public:
-  fault_injector(deployment& system, std::uint64_t seed);
+  // `selected` names the kinds of faults to inject; empty for all.
+  fault_injector(deployment& system,
+                 std::uint64_t seed,
+                 std::span<const std::string> selected);
 
   // Begins and ends the faults that are due.
   void Advance(monotonic_time now);
@@ -27,7 +32,14 @@
  private:
   using inject_function = void (fault_injector::*)(monotonic_time now);
 
+  struct fault_kind {
+    const char* name;
+    inject_function inject;
+  };
+  static const std::array<fault_kind, 26> kFaultKinds;
+
   void KillEntry(monotonic_time now);
+  void RestartEntry(monotonic_time now);
   void KillAgent(monotonic_time now);
   void PauseEntry(monotonic_time now);
   void PauseAgent(monotonic_time now);
@@ -40,10 +52,13 @@
   void DelayEntry(monotonic_time now);
   void DelayWorker(monotonic_time now);
   void CutWorker(monotonic_time now);
+  void RefuseWorker(monotonic_time now);
   void DisturbStore(monotonic_time now);
   void ForgetHistory(monotonic_time now);
   void PublishConfiguration(monotonic_time now);
   void CrashWorker(monotonic_time now);
+  void RestartWorker(monotonic_time now);
+  void OddReport(monotonic_time now);
   void LateWorkerCalls(monotonic_time now);
   void LoseAnswers(monotonic_time now);
   void FailRuns(monotonic_time now);
@@ -76,6 +91,7 @@
                       std::greater<>>
       scheduled_;
   monotonic_time next_fault_at_{};
+  std::vector<const fault_kind*> selected_;
   std::vector<std::string> injected_;
 };
 
--- a/src/soak/job_soak.cc
+++ b/src/soak/job_soak.cc
@@ -33,6 +33,7 @@
   deployment_options system;
   int caller_count = 8;
   int duration_s = 20;
+  std::vector<std::string> faults;
 };
 
 // Advances the deployment and, unless null, the fault injector for `duration`.
@@ -80,7 +81,7 @@
   std::string fault_sequence;
   {
     caller_pool callers(system, options.system.seed, options.caller_count);
-    fault_injector injector(system, options.system.seed);
+    fault_injector injector(system, options.system.seed, options.faults);
     AdvanceFor(system, &injector, seconds(options.duration_s));
     system.EndFaults(monotonic_clock::now());
     AdvanceFor(system, nullptr, kRecoveryTime);
@@ -134,6 +135,11 @@
   app.add_option("--agents", options.system.agent_count,
                  "Number of agent processes")
       ->check(CLI::Range(1, 200));
+  app.add_option("--faults", options.faults,
+                 "Kinds of faults to inject; all by default")
+      ->delimiter(',');
+  app.add_flag("--keep-ids", options.system.workers_keep_ids,
+               "Workers keep their id when they restart");
   app.add_option("--callers", options.caller_count,
                  "Number of concurrent callers")
       ->check(CLI::Range(1, 200));
--- a/src/standins/relay.h
+++ b/src/standins/relay.h
@@ -19,6 +19,11 @@
   // connections immediately.
   virtual void SetTarget(std::uint16_t port) = 0;
   virtual void CloseConnections() = 0;
+  // Like CloseConnections(), but both sides get a reset.
+  virtual void ResetConnections() = 0;
+  // While enabled, nothing listens on the port, so that new connections are
+  // refused.
+  virtual void RefuseConnections(bool enabled) = 0;
   // Permanently discards all further bytes of the existing connections, without
   // closing them. When one side closes, the other side is not notified.
   virtual void BlackholeConnections() = 0;
