Ask one function whether a run has ended, also at the entry

Places that had no sufficient proof: - settled was said 1.4 s after the start of an agent even if its worker still listed runs of an earlier process, and by the agent's own lease in place of the longest one that a worker grants; - a silent worker could be forgotten, and its place taken, while it listed such runs; - the lease of all runs was renewed while runs of an earlier process were being stopped.

--- a/src/scheduler/job_scheduler_agents.cc
+++ b/src/scheduler/job_scheduler_agents.cc
@@ -114,7 +114,7 @@
   }
   view.worker = std::move(worker);
   if (message.settled && view.previous_runs_end)
-    MarkRunsLost(view, false);
+    EndProvenDispatches(view, true);
 }
 
 // An agent sends heartbeats more often while it has runs of this entry, from
@@ -135,38 +135,60 @@
                       {"silence_us", (now_ - view->last_contact).count()},
                       {"outstanding", std::int64_t{view->outstanding}}});
     }
-    if (view->previous_runs_end && now_ >= *view->previous_runs_end)
-      MarkRunsLost(*view, false);
-    const bool ended = view->silent && view->outstanding > 0 &&
-                       now_ >= view->last_sent + options_.lost_run_timeout;
-    if (ended)
-      MarkRunsLost(*view, true);
+    const bool due =
+        (view->previous_runs_end && now_ >= *view->previous_runs_end) ||
+        (view->silent && view->outstanding > 0 &&
+         now_ >= view->last_sent + options_.lost_run_timeout);
+    if (due)
+      EndProvenDispatches(*view, false);
   }
 }
 
-// Handles the agent's outstanding runs as lost: those of earlier sessions, or
-// with `all_sessions` all of them. They have certainly ended.
-void job_scheduler_impl::MarkRunsLost(worker_view& view, bool all_sessions) {
-  view.previous_runs_end.reset();
+// Handles the outstanding tasks of the agent as lost whose runs have certainly
+// ended. `settled` is what the agent says of its earlier sessions.
+void job_scheduler_impl::EndProvenDispatches(worker_view& view, bool settled) {
   struct lost_task {
     std::uint64_t job = 0;
     std::uint32_t task = 0;
+    run_end_proof proof = run_end_proof::kNone;
   };
   std::vector<lost_task> lost;
   for (const auto& [number, job] : jobs_) {
     for (std::uint32_t task = 0; task < job->tasks.size(); ++task) {
       const scheduled_task& state = job->tasks[task];
-      if (state.phase == task_phase::kOutstanding && state.agent == &view &&
-          (all_sessions || state.session != view.session)) {
-        lost.push_back({number, task});
-      }
+      if (state.phase != task_phase::kOutstanding || state.agent != &view)
+        continue;
+      dispatch_evidence evidence = EvidenceOf(view, state);
+      evidence.settled = settled;
+      const run_end_proof proof = FindRunEndProof(evidence, now_);
+      if (proof != run_end_proof::kNone)
+        lost.push_back({number, task, proof});
     }
   }
+  // No run of an earlier session is left.
+  if (settled || (view.previous_runs_end && now_ >= *view.previous_runs_end))
+    view.previous_runs_end.reset();
   for (const lost_task& each : lost) {
     const auto found = jobs_.find(each.job);
-    if (found != jobs_.end())
-      OnRunLost(*found->second, each.task, wire::run_reason::kEntrySilent);
+    if (found != jobs_.end()) {
+      OnRunLost(*found->second, each.task, wire::run_reason::kEntrySilent,
+                each.proof);
+    }
+  }
+}
+
+dispatch_evidence job_scheduler_impl::EvidenceOf(
+    const worker_view& view,
+    const scheduled_task& task) const {
+  dispatch_evidence evidence;
+  evidence.earlier_session = task.session != view.session;
+  if (view.silent)
+    evidence.agent_stops_by = view.last_sent + options_.lost_run_timeout;
+  if (evidence.earlier_session && view.previous_runs_end) {
+    evidence.agent_stops_by =
+        std::min(evidence.agent_stops_by, *view.previous_runs_end);
   }
+  return evidence;
 }
 
 // ---- Reports --------------------------------------------------------------
@@ -180,10 +202,12 @@
   }
   scheduled_job& job = *found->second;
   const scheduled_task& task = job.tasks[message.task];
-  const bool expected = task.phase == task_phase::kOutstanding &&
-                        task.agent == &view && task.session == view.session &&
-                        task.attempt == message.attempt;
-  if (!expected) {
+  dispatch_evidence evidence;
+  evidence.reported = task.phase == task_phase::kOutstanding &&
+                      task.agent == &view && task.session == view.session &&
+                      task.attempt == message.attempt;
+  const run_end_proof proof = FindRunEndProof(evidence, now_);
+  if (proof == run_end_proof::kNone) {
     ++counters_.late_reports;
     return;
   }
@@ -195,7 +219,7 @@
     case wire::run_end::kRefused:
       return OnTaskReturned(job, message.task, message);
     case wire::run_end::kLost:
-      return OnRunLost(job, message.task, message.reason);
+      return OnRunLost(job, message.task, message.reason, proof);
   }
 }
 
@@ -302,7 +326,8 @@
 
 void job_scheduler_impl::OnRunLost(scheduled_job& job,
                                    std::uint32_t task,
-                                   wire::run_reason reason) {
+                                   wire::run_reason reason,
+                                   run_end_proof proof) {
   ++counters_.tasks_lost;
   scheduled_task& lost = job.tasks[task];
   worker_view& view = *lost.agent;
@@ -310,6 +335,7 @@
                  {{"task", std::int64_t{task}},
                   {"attempt", std::int64_t{lost.attempt}},
                   {"reason", std::string(wire::Name(reason))},
+                  {"proof", std::string(Name(proof))},
                   {"agent", view.agent()},
                   {"age_us", (now_ - lost.dispatched_at).count()}});
   EndDispatch(job, task);
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -16,6 +16,7 @@
 #include "egretrack/scheduler/job_scheduler.h"
 #include "scheduler/placement.h"
 #include "scheduler/route_table.h"
+#include "scheduler/run_end_proof.h"
 #include "scheduler/run_time_model.h"
 #include "scheduler/scheduled_job.h"
 #include "scheduler/worker_view.h"
@@ -100,10 +101,13 @@
   void CheckAgentTimeouts();
   // Selects the agents that this entry prefers for its dispatches.
   void SelectPreferredAgents();
-  void MarkRunsLost(worker_view& view, bool all_sessions);
+  void EndProvenDispatches(worker_view& view, bool settled);
+  dispatch_evidence EvidenceOf(const worker_view& view,
+                               const scheduled_task& task) const;
   void OnRunLost(scheduled_job& job,
                  std::uint32_t task,
-                 wire::run_reason reason);
+                 wire::run_reason reason,
+                 run_end_proof proof);
   void OnRunDone(scheduled_job& job,
                  std::uint32_t task,
                  const wire::run_report& report);
--- a/src/scheduler/run_end_proof.cc
+++ b/src/scheduler/run_end_proof.cc
@@ -9,9 +9,10 @@
 // The worker ends a stopped run within 50 ms and then lists it as ended.
 constexpr milliseconds kRunStopTime{60};
 
-constexpr std::array<std::string_view, 9> kNames = {
-    "none",    "not_sent",   "refused",      "listed_ended", "not_listed",
-    "stopped", "fenced_off", "worker_ended", "lease_lapsed"};
+constexpr std::array<std::string_view, 12> kNames = {
+    "none",         "not_sent", "refused",    "listed_ended",
+    "not_listed",   "stopped",  "fenced_off", "worker_ended",
+    "lease_lapsed", "reported", "settled",    "agent_silent"};
 
 // Two lives of a worker share its id, so that a start call may have reached the
 // later one.
@@ -59,4 +60,14 @@
                              : run_end_proof::kNone;
 }
 
+run_end_proof FindRunEndProof(const dispatch_evidence& dispatch,
+                              monotonic_time now) {
+  if (dispatch.reported)
+    return run_end_proof::kReported;
+  if (dispatch.earlier_session && dispatch.settled)
+    return run_end_proof::kSettled;
+  return now >= dispatch.agent_stops_by ? run_end_proof::kAgentSilent
+                                        : run_end_proof::kNone;
+}
+
 }  // namespace egretrack::scheduler
--- a/src/scheduler/run_end_proof.h
+++ b/src/scheduler/run_end_proof.h
@@ -21,6 +21,9 @@
   kFencedOff,    // The worker ignores the start call and does not list the run.
   kWorkerEnded,  // Another worker, or another life of it, has its address.
   kLeaseLapsed,
+  kReported,     // At an entry: the agent reported the end.
+  kSettled,      // At an entry: the agent has no run of an earlier session.
+  kAgentSilent,  // At an entry: the agent has stopped the run by now.
 };
 
 // Name in the event log, for example "lease_lapsed".
@@ -54,7 +57,22 @@
   monotonic_time lease_end = monotonic_time::max();
 };
 
+// What an entry knows about a task that it dispatched.
+struct dispatch_evidence {
+  // The agent reports the end to this process, in the session of the dispatch.
+  bool reported = false;
+  // The agent has begun a new session since.
+  bool earlier_session = false;
+  // The agent says that all runs of earlier sessions have ended.
+  bool settled = false;
+  // Time by which an agent that hears nothing from this process has stopped the
+  // run.
+  monotonic_time agent_stops_by = monotonic_time::max();
+};
+
 run_end_proof FindRunEndProof(const run_evidence& run, monotonic_time now);
+run_end_proof FindRunEndProof(const dispatch_evidence& dispatch,
+                              monotonic_time now);
 
 }  // namespace egretrack::scheduler
 
--- a/src/scheduler/run_supervisor_impl.h
+++ b/src/scheduler/run_supervisor_impl.h
@@ -138,6 +138,8 @@
   run_evidence EvidenceOf(const agent_run& run) const;
   // Local time by which the run has ended unless its lease is renewed.
   monotonic_time LeaseEnd(const agent_run& run) const;
+  // The same for all runs of earlier incarnations of the agent.
+  monotonic_time OrphanLeaseEnd() const;
   // Ends the runs at the worker that have certainly ended. `listed` is what the
   // worker answers about those that are not among `running`.
   void EndProvenRuns(const std::optional<listed_run>& listed,
--- a/src/scheduler/run_supervisor_links.cc
+++ b/src/scheduler/run_supervisor_links.cc
@@ -128,8 +128,8 @@
   // Runs of an earlier incarnation have ended with its lease, or were listed by
   // a poll and stopped.
   const bool reconciled =
-      now_ - first_event_at_ > 2 * options_.lease ||
-      (worker_ && worker_->reconciled && orphaned_runs_.empty());
+      orphaned_runs_.empty() &&
+      (now_ > OrphanLeaseEnd() || (worker_ && worker_->reconciled));
   const connection_number current = links_[entry].connection();
   return reconciled && std::none_of(runs_.all().begin(), runs_.all().end(),
                                     [&](const auto& item) {
--- a/src/scheduler/run_supervisor_polls.cc
+++ b/src/scheduler/run_supervisor_polls.cc
@@ -44,7 +44,7 @@
 }  // namespace
 
 bool run_supervisor_impl::MayExtendLease() const {
-  if (worker_silent_)
+  if (worker_silent_ || !orphaned_runs_.empty())
     return false;
   return std::none_of(
       runs_.all().begin(), runs_.all().end(), [this](const auto& item) {
--- a/src/scheduler/run_supervisor_worker.cc
+++ b/src/scheduler/run_supervisor_worker.cc
@@ -253,6 +253,13 @@
   return std::max(lease_.expires_at(), lease_.latest_expiry());
 }
 
+// An earlier incarnation of the agent has renewed no lease since the start of
+// this one.
+monotonic_time run_supervisor_impl::OrphanLeaseEnd() const {
+  return std::max(first_event_at_ + 2 * options_.longest_lease,
+                  lease_.latest_expiry());
+}
+
 void run_supervisor_impl::EndProvenRuns(
     const std::optional<listed_run>& listed,
     const std::set<std::uint64_t>& running) {
@@ -364,7 +371,7 @@
     ApplyReport(std::exchange(successor_, std::nullopt)->report);
 }
 
-// Requires that no run is left at the worker.
+// Requires that no run is left at the worker, whoever started it.
 void run_supervisor_impl::ForgetWorker(decision_kind reason) {
   RecordDecision(reason, "", {{"worker", worker_->report.id}});
   RefuseQueuedRuns(wire::run_reason::kNoWorker);
@@ -395,7 +402,8 @@
                       {"late_us", (now_ - lease_.expires_at()).count()}});
     }
   }
-  if (runs_.CountAtWorker() > 0)
+  const bool orphans_left = !orphaned_runs_.empty() && now_ <= OrphanLeaseEnd();
+  if (runs_.CountAtWorker() > 0 || orphans_left)
     return;
   const bool ended = (successor_ && worker_silent_) ||
                      (worker_->leaving &&
