Drop delayed frames of an agent's earlier processes

Callers could have seen a task run twice: a frame of an agent's earlier process that arrives after its successor's first one began a new session at the entry, and its settled flag gave up the runs of the current process.

Cause: incarnations are random, so that the entry took any other one for newer.

Evidence: JobScheduler.IgnoresFramesOfAnEarlierAgentProcess fails without the change. Not shown with real processes.

Change: an entry remembers the last 16 processes of each agent and drops their frames.

Result: the scheduler tests pass.

--- a/src/scheduler/job_scheduler_agents.cc
+++ b/src/scheduler/job_scheduler_agents.cc
@@ -25,10 +25,9 @@
   worker_view& view = FindOrAddView(event);
   const agent_session session{event.frame.agent_incarnation,
                               event.frame.connection};
-  const bool same_process =
-      session.agent_incarnation == view.session.agent_incarnation;
-  // A delayed frame of an earlier connection.
-  if (same_process && session.connection < view.session.connection)
+  // A delayed frame of an earlier connection or process of the agent, which
+  // knows nothing of the runs of the current one.
+  if (view.IsEarlier(session))
     return;
   if (session != view.session) {
     if (view.outstanding > 0)
--- a/src/scheduler/tests/job_scheduler_test.cc
+++ b/src/scheduler/tests/job_scheduler_test.cc
@@ -1,5 +1,7 @@
 #include "egretrack/scheduler/job_scheduler.h"
 
+#include <algorithm>
+
 #include <gtest/gtest.h>
 
 #include "scheduler/tests/scheduler_driver.h"
@@ -152,6 +154,25 @@
   EXPECT_TRUE(driver.RequestsReconnect());
 }
 
+// Guards against a delayed frame of an agent's earlier process that is taken
+// for a new session, whose `settled` gives up the runs of the current process.
+TEST_F(JobScheduler, IgnoresFramesOfAnEarlierAgentProcess) {
+  const auto frame_of = [&](std::uint64_t process) {
+    wire::agent_run_frame frame = driver_.MakeFrame(1);
+    frame.agent_incarnation = incarnation{process};
+    return frame;
+  };
+  driver_.SendHeartbeat(1, frame_of(8));
+  driver_.SendHeartbeat(2);
+  driver_.Handle(scheduler_driver::MakeJob(1, "j", 6));
+  const auto dispatched = driver_.TakeDispatched();
+  ASSERT_TRUE(std::ranges::any_of(
+      dispatched, [](const auto& task) { return task.agent == "a1"; }));
+  driver_.SendHeartbeat(1, frame_of(7));
+  EXPECT_TRUE(driver_.TakeDispatched().empty());
+  EXPECT_EQ(driver_.core->counters().tasks_lost, 0U);
+}
+
 // Guards against creating a second job when a caller resubmits one on another
 // connection.
 TEST_F(JobScheduler, AttachesAResubmissionToTheExistingJob) {
--- a/src/scheduler/worker_view.cc
+++ b/src/scheduler/worker_view.cc
@@ -3,6 +3,13 @@
 #include <algorithm>
 
 namespace egretrack::scheduler {
+namespace {
+
+// Frames are delayed by seconds at most, in which an agent restarts a few
+// times.
+constexpr std::size_t kMaxEarlierProcesses = 16;
+
+}  // namespace
 
 std::string_view worker_view::machine_class() const {
   if (!worker || worker->labels.empty())
@@ -16,12 +23,24 @@
 }
 
 void worker_view::BeginSession(const agent_session& new_session) {
+  if (new_session.agent_incarnation != session.agent_incarnation) {
+    earlier_processes_.push_back(session.agent_incarnation);
+    if (earlier_processes_.size() > kMaxEarlierProcesses)
+      earlier_processes_.pop_front();
+  }
   session = new_session;
   dispatch_count_ = 0;
   unacknowledged_.clear();
   load_ = {};
 }
 
+bool worker_view::IsEarlier(const agent_session& other) const {
+  if (other.agent_incarnation == session.agent_incarnation)
+    return other.connection < session.connection;
+  return std::ranges::find(earlier_processes_, other.agent_incarnation) !=
+         earlier_processes_.end();
+}
+
 void worker_view::UpdateLoad(const wire::worker_load& load,
                              monotonic_time now) {
   load_ = load;
--- a/src/scheduler/worker_view.h
+++ b/src/scheduler/worker_view.h
@@ -69,6 +69,8 @@
 
   // Starts a session without dispatches.
   void BeginSession(const agent_session& new_session);
+  // Whether the session is older than the current one.
+  bool IsEarlier(const agent_session& other) const;
 
  private:
   struct unacknowledged_dispatch {
@@ -77,6 +79,8 @@
   };
 
   std::string agent_;
+  // Processes of the agent before the current one, the latest last.
+  std::deque<incarnation> earlier_processes_;
   wire::worker_load load_;
   std::uint64_t dispatch_count_ = 0;
   std::deque<unacknowledged_dispatch> unacknowledged_;
