End the runs of a silent entry before its callers resubmit

Callers could have seen a task run twice: when an entry is killed and stops of its runs go unanswered, the runs went on for up to 1,624 ms, and callers send jobs again after 1,300 ms.

Cause: the lease was renewed for 300 ms after a stop that the worker did not accept, which neither the limits of the deployment nor the entry's timeout counted.

Evidence: RunSupervisor.RenewsLeaseForSilentEntryOnlyUntilResubmission and three tests of DeploymentLimits fail with the times before. Not shown with real processes.

Change: LongestUnattendedRun() is the sum that the limits scale by. The renewal ends 150 ms after an unaccepted stop, and the lease is 500 ms, so that tasks of a worker that has crashed also wait for less time. Two tests of the limits now compare with this sum.

--- a/src/include/egretrack/scheduler/job_scheduler.h
+++ b/src/include/egretrack/scheduler/job_scheduler.h
@@ -167,8 +167,7 @@
   // The same for an agent without runs of this entry.
   milliseconds idle_agent_silence{2600};
   // Time after the last frame to a silent agent by which all its runs have
-  // ended: the agent's entry silence timeout (600 ms), then its worker lease
-  // (700 ms), plus 2 % for a slow clock and the time to stop a run.
+  // ended; at least LongestUnattendedRun() of the agent.
   milliseconds lost_run_timeout{1400};
   // A draining entry reports that it is not ready, but accepts jobs for this
   // time: the load balancer notices after two probes, one second apart.
--- a/src/include/egretrack/scheduler/run_supervisor.h
+++ b/src/include/egretrack/scheduler/run_supervisor.h
@@ -200,8 +200,11 @@
   // well below the time after which callers resubmit their jobs to another
   // entry.
   milliseconds entry_silence{600};
+  // A stop that the worker has not accepted within this time ends the renewal
+  // of the lease.
+  milliseconds stop_timeout{150};
   // Maximum time that the worker's runs continue after this process has ended.
-  milliseconds lease{700};
+  milliseconds lease{500};
   // Longest lease that a worker grants; it shortens longer ones.
   milliseconds longest_lease{1000};
   // Allows for several lost renewals within a lease.
@@ -215,6 +218,11 @@
   double clock_drift = 0.02;
 };
 
+// The longest time for which runs go on after the last sign of life of their
+// entry: until it is silent, then until a stop has failed, then until the lease
+// lapses.
+milliseconds LongestUnattendedRun(const supervisor_options& options);
+
 struct supervisor_counters {
   std::uint64_t dispatches = 0;
   std::uint64_t starts = 0;
--- a/src/include/egretrack/settings/settings.h
+++ b/src/include/egretrack/settings/settings.h
@@ -146,7 +146,7 @@
   std::size_t mailbox_capacity = 65536;
   milliseconds store_timeout{500};
   milliseconds entry_silence{600};
-  milliseconds lease{700};
+  milliseconds lease{500};
   milliseconds renew_interval{30};
   milliseconds drain_bound{5000};
   // Limits set by the deployment, which shorten the times above. 0: no limit.
--- a/src/scheduler/deployment_limits.cc
+++ b/src/scheduler/deployment_limits.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 
+#include "scheduler/worker_lease.h"
+
 namespace egretrack::scheduler {
 namespace {
 
@@ -13,6 +15,8 @@
 // Share of the stop grace during which a draining entry accepts jobs; the rest
 // remains for the jobs to end.
 constexpr double kAcceptTimeShare = 0.5;
+// The end of a scaled lease is rounded up.
+constexpr milliseconds kRounding{1};
 
 bool IsSet(milliseconds limit) {
   return limit > milliseconds(0);
@@ -23,15 +27,16 @@
 }
 
 // Factor for an agent's timeouts, so that the runs of a failed entry have ended
-// when callers resubmit their jobs: the agent first detects that the entry is
-// silent, then the lease of the entry's runs lapses.
+// when callers resubmit their jobs.
 double ResubmitFactor(const deployment_limits& limits,
                       const supervisor_options& agent) {
-  const milliseconds run_end_time = agent.entry_silence + agent.lease;
+  const milliseconds run_end_time = LongestUnattendedRun(agent);
   if (!IsSet(limits.resubmit_after) || limits.resubmit_after >= run_end_time)
     return 1;
-  return static_cast<double>(limits.resubmit_after.count()) /
-         static_cast<double>(run_end_time.count());
+  const milliseconds fixed =
+      worker_lease::LongestTime(milliseconds(0), agent.clock_drift) + kRounding;
+  return static_cast<double>((limits.resubmit_after - fixed).count()) /
+         static_cast<double>((run_end_time - fixed).count());
 }
 
 milliseconds DrainEnd(const deployment_limits& limits) {
@@ -65,6 +70,7 @@
 void ApplyLimits(const deployment_limits& limits, supervisor_options& options) {
   const double factor = ResubmitFactor(limits, options);
   options.entry_silence = ScaleMs(options.entry_silence, factor);
+  options.stop_timeout = ScaleMs(options.stop_timeout, factor);
   options.lease = ScaleMs(options.lease, factor);
   if (IsSet(limits.longest_lease)) {
     options.longest_lease = limits.longest_lease;
--- a/src/scheduler/run_supervisor.cc
+++ b/src/scheduler/run_supervisor.cc
@@ -23,6 +23,11 @@
          a.address == b.address;
 }
 
+milliseconds LongestUnattendedRun(const supervisor_options& options) {
+  return options.entry_silence + options.stop_timeout +
+         worker_lease::LongestTime(options.lease, options.clock_drift);
+}
+
 result<std::unique_ptr<run_supervisor>> run_supervisor::Create(
     supervisor_options options) {
   const bool valid = !options.agent.empty() &&
--- a/src/scheduler/run_supervisor_polls.cc
+++ b/src/scheduler/run_supervisor_polls.cc
@@ -14,8 +14,6 @@
 // several polls may go unanswered without a fault.
 constexpr std::uint32_t kMaxUnansweredPolls = 4;
 constexpr milliseconds kWorkerSilenceTimeout{250};
-// A stop that is not accepted within this time also ends lease renewal.
-constexpr milliseconds kStopTimeout{300};
 // Poll interval while a stopped run has not ended yet.
 constexpr milliseconds kStopPollInterval{30};
 // Delay after a failed poll. Longer for a silent worker, as each attempt may
@@ -50,7 +48,8 @@
       runs_.all().begin(), runs_.all().end(), [this](const auto& item) {
         const agent_run& run = item.second;
         return run.lifecycle.phase() == run_phase::kStopping &&
-               !run.stop_accepted && now_ - run.stop_requested > kStopTimeout;
+               !run.stop_accepted &&
+               now_ - run.stop_requested > options_.stop_timeout;
       });
 }
 
--- a/src/scheduler/tests/deployment_limits_test.cc
+++ b/src/scheduler/tests/deployment_limits_test.cc
@@ -27,10 +27,24 @@
   limits.resubmit_after = milliseconds(900);
   supervisor_options agent;
   ApplyLimits(limits, agent);
-  EXPECT_LE(agent.entry_silence + agent.lease, limits.resubmit_after);
+  EXPECT_LE(LongestUnattendedRun(agent), limits.resubmit_after);
   EXPECT_GT(agent.lease, agent.renew_interval);
 }
 
+// Guards against an entry that dispatches a task again while a silent agent's
+// worker may still run it.
+TEST(DeploymentLimits, EntryWaitsForTheLongestRunOfASilentAgent) {
+  deployment_limits limits;
+  for (const int resubmit_ms : {0, 700, 900, 1300, 5000}) {
+    limits.resubmit_after = milliseconds(resubmit_ms);
+    scheduler_options entry;
+    ApplyLimits(limits, entry);
+    supervisor_options agent;
+    ApplyLimits(limits, agent);
+    EXPECT_GE(entry.lost_run_timeout, LongestUnattendedRun(agent));
+  }
+}
+
 // Guards against computing the factor from the default options when the agent's
 // options are longer.
 TEST(DeploymentLimits, ShortensOptionsLongerThanTheDefaults) {
@@ -39,7 +53,7 @@
   supervisor_options agent;
   agent.lease = milliseconds(2000);
   ApplyLimits(limits, agent);
-  EXPECT_LE(agent.entry_silence + agent.lease, limits.resubmit_after);
+  EXPECT_LE(LongestUnattendedRun(agent), limits.resubmit_after);
 }
 
 // Guards against requesting a lease that the worker truncates, so that it stops
--- a/src/scheduler/tests/run_supervisor_test.cc
+++ b/src/scheduler/tests/run_supervisor_test.cc
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include "egretrack/scheduler/deployment_limits.h"
 #include "scheduler/tests/supervisor_driver.h"
 
 namespace egretrack::scheduler {
@@ -59,7 +60,8 @@
   const auto starts = driver_.Commands<start_run>();
   ASSERT_EQ(starts.size(), 1U);
   EXPECT_GT(starts[0].lease_until, driver_.WorkerNow());
-  EXPECT_LE(starts[0].lease_until, driver_.WorkerNow() + milliseconds(700));
+  EXPECT_LE(starts[0].lease_until,
+            driver_.WorkerNow() + supervisor_driver::Options().lease);
   EXPECT_EQ(starts[0].target.fence, 10U);
 }
 
@@ -216,6 +218,33 @@
   EXPECT_EQ(addressed(), std::nullopt);
 }
 
+// Guards against runs of a killed entry that outlive the time after which its
+// callers resubmit their jobs, because no stop is accepted while polls, which
+// renew the lease, are answered.
+TEST_F(RunSupervisor, RenewsLeaseForSilentEntryOnlyUntilResubmission) {
+  constexpr milliseconds kResubmitAfter{1300};
+  supervisor_options options = supervisor_driver::Options();
+  ApplyLimits(deployment_limits::Create(1000, kResubmitAfter.count(), 6),
+              options);
+  supervisor_driver driver(options);
+  driver.ConnectIdleWorker();
+  driver.Dispatch(0);
+  driver.AnswerStart(supervisor_driver::RunId(0));
+  const auto last_alive = driver.now;
+  const auto clock_offset = supervisor_driver::kWorkerClockAtStart;
+  milliseconds lease_end{0};
+  std::uint32_t percent = 0;
+  while (driver.now - last_alive < seconds(1)) {
+    driver.AdvanceTime(milliseconds(10));
+    driver.AnswerHeartbeats({1});
+    driver.AnswerPoll({{supervisor_driver::RunId(0), ++percent}});
+    for (const auto& poll : driver.Commands<poll_worker>())
+      lease_end = std::max(lease_end, poll.lease_until - clock_offset);
+  }
+  EXPECT_GT(lease_end, milliseconds(0));
+  EXPECT_LE(monotonic_time(lease_end) - last_alive, kResubmitAfter);
+}
+
 // Guards against a queued task of a killed entry process that starts after its
 // successor has answered.
 TEST_F(RunSupervisor, DropsQueuedRunsOfRestartedEntry) {
@@ -568,7 +597,8 @@
   driver_.AnswerPoll({{supervisor_driver::RunId(0), 10}});
   const auto last_renewal = driver_.now;
   while (driver_.Reports().empty() && driver_.now - last_renewal < seconds(5)) {
-    EXPECT_LE(driver_.now - last_renewal, milliseconds(750));
+    EXPECT_LE(driver_.now - last_renewal,
+              supervisor_driver::Options().lease + milliseconds(50));
     if (driver_.Commands<poll_worker>().size() > driver_.answered_polls)
       driver_.FailPoll(worker_call_result::kUnreachable);
     driver_.AdvanceTime(milliseconds(5));
--- a/src/scheduler/worker_lease.cc
+++ b/src/scheduler/worker_lease.cc
@@ -13,6 +13,11 @@
 
 }  // namespace
 
+milliseconds worker_lease::LongestTime(milliseconds length, double drift) {
+  return std::chrono::ceil<milliseconds>(Scale(length, 1 / (1 - drift))) +
+         kExpiryMargin;
+}
+
 void worker_lease::Reset() {
   clock_.reset();
 }
@@ -32,10 +37,8 @@
   const auto worker_now =
       clock_->worker_clock + std::chrono::duration_cast<milliseconds>(
                                  Scale(now - clock_->at, 1 - drift_));
-  const double slowest = 1 / (1 - drift_);
-  expires_at_ =
-      std::max(expires_at_, now + Scale(length_, slowest) + kExpiryMargin);
-  latest_expiry_ = now + Scale(longest_, slowest) + kExpiryMargin;
+  expires_at_ = std::max(expires_at_, now + LongestTime(length_, drift_));
+  latest_expiry_ = now + LongestTime(longest_, drift_);
   return worker_now + length_;
 }
 
--- a/src/scheduler/worker_lease.h
+++ b/src/scheduler/worker_lease.h
@@ -16,6 +16,9 @@
   worker_lease(milliseconds length, milliseconds longest, double drift)
       : length_(length), longest_(longest), drift_(drift) {}
 
+  // Longest local time for which a lease of `length` lasts after its renewal.
+  static milliseconds LongestTime(milliseconds length, double drift);
+
   // Drops the clock reading, which belongs to one worker incarnation. The ends
   // of the leases that were requested before stay as they are.
   void Reset();
