Begin a session only with an agent that has heard this entry

Callers could have seen a task run twice: an entry and an agent restart together, and a late heartbeat of the agent's earlier process reaches the entry. It began a new session, whose settled flag gave up the runs of the current process.

Cause: the entry ordered the processes of an agent by the sessions that it had begun. One that has restarted has begun none, so that it knew no earlier process. A frame for another entry process also replaced the session before it was rejected.

Not shown with real processes.

Change: an agent names the entry process that has answered on its connection, or that none has. A session begins with the first frame that names this process. Heartbeats before that are answered without a session, and the agent sends the next one at once. Processes are ordered by when they were heard of first. Frames of earlier releases, which name nothing, begin a session as before.

--- a/src/include/egretrack/wire/run_messages.h
+++ b/src/include/egretrack/wire/run_messages.h
@@ -108,7 +108,8 @@
   incarnation agent_incarnation{};
   connection_number connection{};
   // The entry process that has answered on this connection, to which all
-  // reports in the frame belong; unset before its first answer.
+  // reports in the frame belong; incarnation{} before its first answer. Unset
+  // in frames of earlier releases.
   std::optional<incarnation> entry_incarnation;
   worker_load load;
   std::vector<agent_run_message> messages;
--- a/src/scheduler/job_scheduler_agents.cc
+++ b/src/scheduler/job_scheduler_agents.cc
@@ -16,6 +16,8 @@
 // Largest share of the agents that may be ejected, so that a fault common to
 // all workers does not eject all of them.
 constexpr double kMaxEjectedShare = 0.5;
+// Named by an agent that has heard no process on its connection.
+constexpr incarnation kUnknownProcess{};
 
 }  // namespace
 
@@ -27,8 +29,19 @@
                               event.frame.connection};
   // A delayed frame of an earlier connection or process of the agent, which
   // knows nothing of the runs of the current one.
+  view.RecordProcess(session.agent_incarnation);
   if (view.IsEarlier(session))
     return;
+  // Frames for an earlier entry process hold the ends of its runs, whose job
+  // numbers this process uses again.
+  const auto& addressee = event.frame.entry_incarnation;
+  const bool for_other_process = addressee && *addressee != kUnknownProcess &&
+                                 *addressee != options_.entry_incarnation;
+  // A first frame of a connection may be a delayed one of a process that has
+  // ended. One that has heard this process is not.
+  const bool unheard = addressee && *addressee == kUnknownProcess;
+  if (for_other_process || (unheard && session != view.session))
+    return AnswerWithoutSession(view, event, for_other_process);
   if (session != view.session) {
     if (view.outstanding > 0)
       view.previous_runs_end = view.last_sent + options_.lost_run_timeout;
@@ -41,14 +54,9 @@
          {"connection", static_cast<std::int64_t>(session.connection)},
          {"outstanding", std::int64_t{view.outstanding}}});
   }
-  // Frames for an earlier entry process hold the ends of its runs, whose job
-  // numbers this process uses again.
-  const bool for_other_process =
-      event.frame.entry_incarnation &&
-      *event.frame.entry_incarnation != options_.entry_incarnation;
   // On another link, the transport has reconnected on its own and may have lost
   // frames.
-  if (for_other_process || event.link != view.link) {
+  if (event.link != view.link) {
     view.link = event.link;
     view.last_contact = now_;
     wire::beat_reply reply;
@@ -66,6 +74,39 @@
     messages::Call(*this, message, view);
 }
 
+void job_scheduler_impl::AnswerWithoutSession(worker_view& view,
+                                              const agent_frame& event,
+                                              bool reconnect) {
+  send_to_agent send;
+  send.link = event.link;
+  send.frame.connection = event.frame.connection;
+  send.frame.entry = options_.entry;
+  send.frame.entry_incarnation = options_.entry_incarnation;
+  send.frame.entry_time = now_;
+  for (const wire::agent_run_message& message : event.frame.messages) {
+    if (const auto* heartbeat = std::get_if<wire::agent_beat>(&message))
+      send.frame.messages.emplace_back(MakeReply(*heartbeat));
+  }
+  if (reconnect) {
+    wire::beat_reply reply;
+    reply.reconnect = true;
+    send.frame.messages.emplace_back(std::move(reply));
+  }
+  view.last_contact = now_;
+  view.last_sent = now_;
+  Emit(std::move(send));
+}
+
+wire::beat_reply job_scheduler_impl::MakeReply(
+    const wire::agent_beat& heartbeat) const {
+  wire::beat_reply reply;
+  reply.sequence = heartbeat.sequence;
+  reply.members_hash = members_hash_;
+  if (heartbeat.members_hash != members_hash_)
+    reply.members = members_;
+  return reply;
+}
+
 worker_view& job_scheduler_impl::FindOrAddView(agent_frame& event) {
   auto found = views_.find(event.frame.agent);
   if (found == views_.end()) {
@@ -94,13 +135,7 @@
 
 void job_scheduler_impl::OnHeartbeat(wire::agent_beat& message,
                                      worker_view& view) {
-  wire::beat_reply reply;
-  reply.sequence = message.sequence;
-  reply.members_hash = members_hash_;
-  if (message.members_hash != members_hash_)
-    reply.members = members_;
-  view.outgoing.emplace_back(std::move(reply));
-
+  view.outgoing.emplace_back(MakeReply(message));
   view.failure_domain = std::move(message.failure_domain);
   view.draining = message.draining;
   std::optional<wire::worker_facts> worker;
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -96,6 +96,11 @@
   // ---- job_scheduler_agents.cc: sessions and reports -----------------------
   void OnHeartbeat(wire::agent_beat& message, worker_view& view);
   void OnReport(wire::run_report& message, worker_view& view);
+  // Answers the heartbeats of a frame that begins no session.
+  void AnswerWithoutSession(worker_view& view,
+                            const agent_frame& event,
+                            bool reconnect);
+  wire::beat_reply MakeReply(const wire::agent_beat& heartbeat) const;
   worker_view& FindOrAddView(agent_frame& event);
   bool IsSilent(const worker_view& view) const;
   void CheckAgentTimeouts();
--- a/src/scheduler/run_supervisor_links.cc
+++ b/src/scheduler/run_supervisor_links.cc
@@ -48,6 +48,8 @@
         decision_kind::kEntryFound, "",
         {{"entry", link.entry()},
          {"connection", static_cast<std::int64_t>(link.connection())}});
+    // The entry uses this agent once a frame shows that the agent has heard it.
+    link.heartbeat_requested = true;
   }
   using messages = event_table<
       wire::entry_run_message, &run_supervisor_impl::OnHeartbeatReply,
@@ -250,7 +252,8 @@
   send.frame.agent = options_.agent;
   send.frame.agent_incarnation = options_.agent_incarnation;
   send.frame.connection = link.connection();
-  send.frame.entry_incarnation = link.entry_incarnation();
+  send.frame.entry_incarnation =
+      link.entry_incarnation().value_or(incarnation{});
   send.frame.load = load;
   send.frame.load.dispatches_seen = link.dispatches_seen;
   send.frame.messages = std::exchange(link.outgoing, {});
--- a/src/scheduler/tests/job_scheduler_test.cc
+++ b/src/scheduler/tests/job_scheduler_test.cc
@@ -154,6 +154,30 @@
   EXPECT_TRUE(driver.RequestsReconnect());
 }
 
+// Guards against a late first frame of an agent process that has ended, which
+// takes the place of the current process or gives up its runs. An entry that
+// has restarted since does not know which one was earlier.
+TEST(JobSchedulerSession, BeginsOnlyWithAnAgentThatHasHeardThisProcess) {
+  scheduler_driver driver;
+  driver.Configure();
+  const auto send_heartbeat = [&](std::uint64_t process, incarnation heard) {
+    wire::agent_run_frame frame = driver.MakeFrame(1);
+    frame.agent_incarnation = incarnation{process};
+    frame.entry_incarnation = heard;
+    driver.SendHeartbeat(1, frame);
+  };
+  const incarnation self = scheduler_driver::DefaultOptions().entry_incarnation;
+  driver.Handle(scheduler_driver::MakeJob(1, "j"));
+  send_heartbeat(8, incarnation{});
+  EXPECT_TRUE(driver.TakeDispatched().empty());
+  send_heartbeat(8, self);
+  EXPECT_EQ(driver.TakeDispatched().size(), 1U);
+  send_heartbeat(7, incarnation{});
+  EXPECT_EQ(driver.core->counters().tasks_lost, 0U);
+  driver.Handle(scheduler_driver::MakeJob(2, "k"));
+  EXPECT_EQ(driver.TakeDispatched().size(), 1U);
+}
+
 // Guards against a delayed frame of an agent's earlier process that is taken
 // for a new session, whose `settled` gives up the runs of the current process.
 TEST_F(JobScheduler, IgnoresFramesOfAnEarlierAgentProcess) {
--- a/src/scheduler/tests/run_supervisor_test.cc
+++ b/src/scheduler/tests/run_supervisor_test.cc
@@ -215,7 +215,12 @@
   EXPECT_EQ(addressed(), driver_.EntryIncarnation(0));
   driver_.RestartEntry(0);
   EXPECT_EQ(driver_.Commands<send_to_entry>().back().entry, 0U);
-  EXPECT_EQ(addressed(), std::nullopt);
+  EXPECT_EQ(addressed(), incarnation{});
+  // The first answer is acknowledged at once, so that the entry uses the agent.
+  const std::size_t sent = driver_.Commands<send_to_entry>().size();
+  driver_.AnswerHeartbeats({0});
+  EXPECT_GT(driver_.Commands<send_to_entry>().size(), sent);
+  EXPECT_EQ(addressed(), driver_.EntryIncarnation(0));
 }
 
 // Guards against runs of a killed entry that outlive the time after which its
--- a/src/scheduler/worker_view.cc
+++ b/src/scheduler/worker_view.cc
@@ -7,7 +7,7 @@
 
 // Frames are delayed by seconds at most, in which an agent restarts a few
 // times.
-constexpr std::size_t kMaxEarlierProcesses = 16;
+constexpr std::size_t kMaxProcesses = 16;
 
 }  // namespace
 
@@ -23,11 +23,6 @@
 }
 
 void worker_view::BeginSession(const agent_session& new_session) {
-  if (new_session.agent_incarnation != session.agent_incarnation) {
-    earlier_processes_.push_back(session.agent_incarnation);
-    if (earlier_processes_.size() > kMaxEarlierProcesses)
-      earlier_processes_.pop_front();
-  }
   session = new_session;
   dispatch_count_ = 0;
   unacknowledged_.clear();
@@ -37,8 +32,18 @@
 bool worker_view::IsEarlier(const agent_session& other) const {
   if (other.agent_incarnation == session.agent_incarnation)
     return other.connection < session.connection;
-  return std::ranges::find(earlier_processes_, other.agent_incarnation) !=
-         earlier_processes_.end();
+  const auto current = std::ranges::find(processes_, session.agent_incarnation);
+  return current != processes_.end() &&
+         std::find(processes_.begin(), current, other.agent_incarnation) !=
+             current;
+}
+
+void worker_view::RecordProcess(incarnation process) {
+  if (std::ranges::find(processes_, process) != processes_.end())
+    return;
+  processes_.push_back(process);
+  if (processes_.size() > kMaxProcesses)
+    processes_.pop_front();
 }
 
 void worker_view::UpdateLoad(const wire::worker_load& load,
--- a/src/scheduler/worker_view.h
+++ b/src/scheduler/worker_view.h
@@ -69,7 +69,10 @@
 
   // Starts a session without dispatches.
   void BeginSession(const agent_session& new_session);
-  // Whether the session is older than the current one.
+  // Records that a process of the agent was heard of.
+  void RecordProcess(incarnation process);
+  // Whether the session is older than the current one: one of an earlier
+  // connection, or of a process that was heard of before the current one.
   bool IsEarlier(const agent_session& other) const;
 
  private:
@@ -79,8 +82,8 @@
   };
 
   std::string agent_;
-  // Processes of the agent before the current one, the latest last.
-  std::deque<incarnation> earlier_processes_;
+  // Processes of the agent in the order in which they were heard of first.
+  std::deque<incarnation> processes_;
   wire::worker_load load_;
   std::uint64_t dispatch_count_ = 0;
   std::deque<unacknowledged_dispatch> unacknowledged_;
