Generate faults over both decision cores and a model of the network

The model joins job_scheduler and run_supervisor with workers that hold leases, callers that resubmit, a clock for each process, and a network that loses, delays and doubles frames. Checked: no two runs of a task at once on workers that are up, no completed job whose tasks have not ended, no refused job that has run.

--- /dev/null
+++ b/src/scheduler/tests/system_model.cc
@@ -0,0 +1,775 @@
+#include "scheduler/tests/system_model.h"
+
+#include <algorithm>
+#include <utility>
+#include <variant>
+
+#include "egretrack/scheduler/deployment_limits.h"
+#include "scheduler/tests/scheduler_driver.h"
+
+namespace egretrack::scheduler {
+namespace {
+
+constexpr std::size_t kEntries = 2;
+constexpr std::size_t kAgents = 3;
+constexpr std::size_t kJobs = 14;
+constexpr std::uint32_t kTasksPerJob = 3;
+constexpr milliseconds kCallTimeout{20};
+constexpr milliseconds kPollMargin{20};
+constexpr milliseconds kResendDelay{1300};
+constexpr milliseconds kLongestLease{1000};
+constexpr milliseconds kStopTime{50};
+constexpr milliseconds kReportInterval{1500};
+constexpr milliseconds kTick{2};
+constexpr std::uint32_t kMaxAttempts = 3;
+constexpr double kSlowestWorkerClock = 0.98;
+constexpr std::int64_t kFirstBirth = 1'000'000;
+
+deployment_limits Limits() {
+  return deployment_limits::Create(static_cast<double>(kLongestLease.count()),
+                                   static_cast<double>(kResendDelay.count()),
+                                   6);
+}
+
+std::string TaskName(const run_id& id) {
+  return id.job_key + "." + std::to_string(id.step) + "." +
+         std::to_string(id.index);
+}
+
+std::string WorkerAddress(std::size_t index) {
+  return "10.0.0." + std::to_string(index + 1) + ":8";
+}
+
+std::string EntryAddress(std::size_t index) {
+  return "10.0.1." + std::to_string(index + 1) + ":7";
+}
+
+}  // namespace
+
+struct system_model::entry {
+  std::unique_ptr<job_scheduler> core;  // Null while down.
+  std::uint64_t life = 0;
+  microseconds clock_offset{0};
+  monotonic_time wakeup{};
+  std::set<std::uint64_t> callers;
+};
+
+struct system_model::agent {
+  struct link {
+    std::uint64_t transport = 0;
+    bool open = false;
+    monotonic_time cut_until{};
+    monotonic_time last_to_entry{};
+    monotonic_time last_to_agent{};
+    std::optional<send_to_entry> last_frame;
+  };
+  std::unique_ptr<run_supervisor> core;  // Null while down.
+  std::uint64_t life = 0;
+  microseconds clock_offset{0};
+  monotonic_time wakeup{};
+  std::vector<link> links{kEntries};
+  std::optional<worker_report> stored;
+};
+
+struct system_model::worker_life {
+  struct run {
+    std::uint32_t number = 0;
+    run_id id;
+    monotonic_time started;
+    monotonic_time ends;
+    std::optional<monotonic_time> stops;
+  };
+  std::uint64_t life = 0;
+  std::size_t worker = 0;
+  std::string id;
+  std::int64_t born = 0;
+  monotonic_time clock_start;
+  double clock_rate = 1;
+  std::uint64_t fence = 0;
+  milliseconds lease_end{0};
+  std::map<std::string, run> running;
+  std::map<std::string, std::uint32_t> highest;
+  std::vector<ended_row> ended;
+  std::uint64_t last_end = 0;
+  std::uint64_t sequence = 0;
+  std::vector<std::shared_ptr<worker_call>> polls;
+};
+
+struct system_model::worker {
+  std::unique_ptr<worker_life> life;  // Null while down.
+  std::uint64_t ids = 0;
+  monotonic_time cut_until{};
+  monotonic_time slow_until{};
+  double late_share = 0;  // Of calls while slow.
+};
+
+struct system_model::worker_call {
+  enum class kind : std::uint8_t { kStart, kStop, kPoll };
+  kind type = kind::kPoll;
+  std::size_t agent = 0;
+  std::uint64_t agent_life = 0;
+  worker_call_target target;
+  run_id id;
+  std::string spec;
+  milliseconds lease_until{0};
+  milliseconds wait{0};
+  std::uint64_t last_end_seen = 0;
+  std::size_t worker = kAgents;   // Index; kAgents if nobody listens.
+  std::uint64_t worker_life = 0;  // That the call was sent to.
+  bool resolved = false;          // The agent has its outcome.
+  bool answer_lost = false;
+  monotonic_time poll_deadline{};
+};
+
+struct system_model::job {
+  std::string key;
+  milliseconds run_time{0};
+  std::uint32_t attempts = 0;
+  bool first_attempt_sent = false;
+  bool answered = false;
+};
+
+system_model::system_model(std::uint64_t seed) : random_(seed) {
+  for (std::size_t index = 0; index < kEntries; ++index) {
+    entries_.push_back(std::make_unique<entry>());
+    StartEntry(index);
+  }
+  for (std::size_t index = 0; index < kAgents; ++index) {
+    workers_.push_back(std::make_unique<worker>());
+    agents_.push_back(std::make_unique<agent>());
+  }
+  for (std::size_t index = 0; index < kAgents; ++index) {
+    StartWorker(index, true, milliseconds(0));
+    StartAgent(index);
+    At(milliseconds(5), [this, index] { ReportWorker(index); });
+  }
+  for (std::size_t number = 0; number < kJobs; ++number) {
+    auto added = std::make_unique<job>();
+    added->key = "j" + std::to_string(number);
+    added->run_time = std::chrono::duration_cast<milliseconds>(
+        RandomTime(milliseconds(50), milliseconds(900)));
+    jobs_.push_back(std::move(added));
+    At(RandomTime(milliseconds(100), milliseconds(3500)),
+       [this, number] { Submit(number); });
+  }
+}
+
+system_model::~system_model() = default;
+
+void system_model::At(microseconds delay, std::function<void()> action) {
+  events_.emplace(now_ + delay, std::move(action));
+}
+
+microseconds system_model::RandomTime(milliseconds low, milliseconds high) {
+  return microseconds(std::uniform_int_distribution<std::int64_t>(
+      microseconds(low).count(), microseconds(high).count())(random_));
+}
+
+bool system_model::Draw(double probability) {
+  return std::uniform_real_distribution<double>(0, 1)(random_) < probability;
+}
+
+void system_model::Run(microseconds duration) {
+  const monotonic_time end = now_ + duration;
+  while (now_ < end) {
+    const monotonic_time tick = now_ + kTick;
+    while (!events_.empty() && events_.begin()->first <= tick) {
+      const auto next = events_.begin();
+      now_ = std::max(now_, next->first);
+      const auto action = std::move(next->second);
+      events_.erase(next);
+      action();
+    }
+    now_ = tick;
+    AdvanceWorkers();
+    for (std::size_t index = 0; index < kEntries; ++index) {
+      if (entries_[index]->core && now_ >= entries_[index]->wakeup)
+        HandleEntry(index, std::nullopt);
+    }
+    for (std::size_t index = 0; index < kAgents; ++index) {
+      if (agents_[index]->core && now_ >= agents_[index]->wakeup)
+        HandleAgent(index, std::nullopt);
+    }
+  }
+}
+
+// ---- Processes ------------------------------------------------------------
+
+void system_model::StartEntry(std::size_t index) {
+  entry& target = *entries_[index];
+  scheduler_options options;
+  options.entry = "e" + std::to_string(index);
+  options.entry_incarnation = incarnation{++last_life_};
+  options.failure_domain = "palermo";
+  ApplyLimits(Limits(), options);
+  target.core = job_scheduler::Create(options).value();
+  target.life = last_life_;
+  target.clock_offset = RandomTime(milliseconds(0), seconds(100));
+  HandleEntry(index,
+              configuration_received{scheduler_driver::MakeConfiguration(1)});
+}
+
+void system_model::StartAgent(std::size_t index) {
+  agent& target = *agents_[index];
+  supervisor_options options;
+  options.agent = "a" + std::to_string(index);
+  options.agent_incarnation = incarnation{++last_life_};
+  options.failure_domain = "palermo";
+  options.first_fence =
+      static_cast<std::uint64_t>(now_.time_since_epoch().count() / 1000);
+  ApplyLimits(Limits(), options);
+  target.core = run_supervisor::Create(options).value();
+  target.life = last_life_;
+  target.clock_offset = RandomTime(milliseconds(0), seconds(100));
+  entries_discovered discovered;
+  for (std::size_t entry = 0; entry < kEntries; ++entry) {
+    ++target.links[entry].transport;
+    discovered.members.push_back(
+        {"e" + std::to_string(entry), EntryAddress(entry)});
+  }
+  HandleAgent(index, std::move(discovered));
+  if (target.stored)
+    HandleAgent(index, worker_restored{*target.stored});
+}
+
+void system_model::StartWorker(std::size_t index,
+                               bool new_id,
+                               milliseconds birth_offset) {
+  worker& target = *workers_[index];
+  if (new_id)
+    ++target.ids;
+  auto life = std::make_unique<worker_life>();
+  life->life = ++last_life_;
+  life->worker = index;
+  life->id = "w" + std::to_string(index) + "-" + std::to_string(target.ids);
+  life->born = kFirstBirth + std::chrono::duration_cast<milliseconds>(
+                                 now_.time_since_epoch() + birth_offset)
+                                 .count();
+  life->clock_start = now_ - RandomTime(milliseconds(0), seconds(5));
+  life->clock_rate =
+      std::uniform_real_distribution<double>(kSlowestWorkerClock, 1)(random_);
+  target.life = std::move(life);
+}
+
+void system_model::HandleEntry(std::size_t index,
+                               std::optional<scheduler_event> event) {
+  entry& target = *entries_[index];
+  if (!target.core)
+    return;
+  const monotonic_time local = now_ + target.clock_offset;
+  std::vector<scheduler_command> commands;
+  if (event)
+    target.core->Handle(std::move(*event), local, commands);
+  target.wakeup = target.core->Advance(local, commands) - target.clock_offset;
+  for (scheduler_command& command : commands)
+    PerformEntryCommand(index, command);
+}
+
+void system_model::HandleAgent(std::size_t index,
+                               std::optional<supervisor_event> event) {
+  agent& target = *agents_[index];
+  if (!target.core)
+    return;
+  const monotonic_time local = now_ + target.clock_offset;
+  std::vector<supervisor_command> commands;
+  if (event)
+    target.core->Handle(std::move(*event), local, commands);
+  target.wakeup = target.core->Advance(local, commands) - target.clock_offset;
+  for (supervisor_command& command : commands)
+    PerformAgentCommand(index, command);
+}
+
+void system_model::PerformEntryCommand(std::size_t index,
+                                       scheduler_command& command) {
+  if (auto* send = std::get_if<send_to_agent>(&command))
+    SendToAgent(index, std::move(*send));
+  else if (const auto* answer = std::get_if<answer_job>(&command))
+    At(milliseconds(1), [this, answer = *answer] { OnAnswer(answer); });
+}
+
+void system_model::PerformAgentCommand(std::size_t index,
+                                       supervisor_command& command) {
+  agent& target = *agents_[index];
+  worker_call call;
+  if (auto* send = std::get_if<send_to_entry>(&command)) {
+    SendToEntry(index, std::move(*send));
+  } else if (const auto* opened = std::get_if<open_link>(&command)) {
+    ++target.links[opened->entry].transport;
+    target.links[opened->entry].open = true;
+  } else if (const auto* closed = std::get_if<close_link>(&command)) {
+    ++target.links[closed->entry].transport;
+    target.links[closed->entry].open = false;
+  } else if (const auto* stored = std::get_if<store_worker>(&command)) {
+    target.stored = stored->report;
+  } else if (auto* start = std::get_if<start_run>(&command)) {
+    call.type = worker_call::kind::kStart;
+    call.target = start->target;
+    call.id = start->id;
+    call.spec = start->spec;
+    call.lease_until = start->lease_until;
+    CallWorker(index, std::move(call));
+  } else if (auto* stop = std::get_if<stop_run>(&command)) {
+    call.type = worker_call::kind::kStop;
+    call.target = stop->target;
+    call.id = stop->id;
+    CallWorker(index, std::move(call));
+  } else if (auto* poll = std::get_if<poll_worker>(&command)) {
+    call.target = poll->target;
+    call.lease_until = poll->lease_until;
+    call.wait = poll->wait;
+    call.last_end_seen = poll->last_end_seen;
+    CallWorker(index, std::move(call));
+  }
+}
+
+void system_model::KillEntry(std::size_t index, milliseconds down_time) {
+  entry& target = *entries_[index];
+  if (!target.core)
+    return;
+  target.core.reset();
+  for (const std::uint64_t caller : std::exchange(target.callers, {})) {
+    const std::size_t number = jobs_by_caller_.at(caller);
+    jobs_by_caller_.erase(caller);
+    At(kResendDelay, [this, number] { Submit(number); });
+  }
+  At(down_time, [this, index] { StartEntry(index); });
+}
+
+// ---- Network --------------------------------------------------------------
+
+void system_model::SendToEntry(std::size_t from, send_to_entry command) {
+  agent& sender = *agents_[from];
+  agent::link& link = sender.links[command.entry];
+  if (!link.open || now_ < link.cut_until)
+    return;
+  link.last_to_entry = std::max(
+      link.last_to_entry, now_ + RandomTime(milliseconds(0), milliseconds(2)));
+  link.last_frame = command;
+  events_.emplace(link.last_to_entry,
+                  [this, from, life = sender.life, transport = link.transport,
+                   command = std::move(command)]() mutable {
+                    DeliverToEntry(from, life, transport, std::move(command));
+                  });
+}
+
+// The transport keeps frames for an entry that is down, and reconnects.
+void system_model::DeliverToEntry(std::size_t from,
+                                  std::uint64_t agent_life,
+                                  std::uint64_t transport,
+                                  send_to_entry command) {
+  const std::size_t to = command.entry;
+  entry& receiver = *entries_[to];
+  if (!receiver.core) {
+    if (agents_[from]->life == agent_life &&
+        agents_[from]->links[to].transport == transport) {
+      At(milliseconds(5), [this, from, agent_life, transport,
+                           command = std::move(command)]() mutable {
+        DeliverToEntry(from, agent_life, transport, std::move(command));
+      });
+    }
+    return;
+  }
+  const std::string name = std::to_string(agent_life) + "/" +
+                           std::to_string(transport) + "/" +
+                           std::to_string(receiver.life);
+  const auto [found, added] = link_ids_.emplace(name, link_ids_.size() + 1);
+  if (added) {
+    links_[found->second] = [this, from, to, agent_life,
+                             transport](wire::entry_run_frame frame) {
+      agent& target = *agents_[from];
+      if (target.life != agent_life || !target.core ||
+          target.links[to].transport != transport) {
+        return;
+      }
+      HandleAgent(from,
+                  entry_frame{static_cast<entry_index>(to), std::move(frame)});
+    };
+  }
+  HandleEntry(to,
+              agent_frame{link_id{found->second}, std::move(command.frame)});
+}
+
+void system_model::SendToAgent(std::size_t from, send_to_agent command) {
+  const auto link = static_cast<std::uint64_t>(command.link);
+  const auto to = static_cast<std::size_t>(
+      std::find_if(agents_.begin(), agents_.end(),
+                   [&](const auto& candidate) {
+                     const std::string prefix =
+                         std::to_string(candidate->life) + "/";
+                     return std::ranges::any_of(link_ids_, [&](const auto& id) {
+                       return id.second == link && id.first.starts_with(prefix);
+                     });
+                   }) -
+      agents_.begin());
+  if (to == kAgents || now_ < agents_[to]->links[from].cut_until)
+    return;
+  agent::link& path = agents_[to]->links[from];
+  path.last_to_agent = std::max(
+      path.last_to_agent, now_ + RandomTime(milliseconds(0), milliseconds(2)));
+  events_.emplace(path.last_to_agent,
+                  [this, link, frame = std::move(command.frame)] {
+                    links_.at(link)(frame);
+                  });
+}
+
+// ---- Workers --------------------------------------------------------------
+
+void system_model::CallWorker(std::size_t from, worker_call values) {
+  auto call = std::make_shared<worker_call>(std::move(values));
+  call->agent = from;
+  call->agent_life = agents_[from]->life;
+  for (std::size_t index = 0; index < kAgents; ++index) {
+    if (WorkerAddress(index) == call->target.address)
+      call->worker = index;
+  }
+  const bool reachable = call->worker < kAgents &&
+                         workers_[call->worker]->life &&
+                         now_ >= workers_[call->worker]->cut_until;
+  if (!reachable) {
+    At(microseconds(300),
+       [this, call] { FailCall(call, worker_call_result::kUnreachable); });
+    return;
+  }
+  const worker& target = *workers_[call->worker];
+  call->worker_life = target.life->life;
+  microseconds delay = RandomTime(milliseconds(0), milliseconds(1));
+  if (now_ < target.slow_until) {
+    if (Draw(target.late_share))
+      delay = RandomTime(milliseconds(1), milliseconds(1500));
+    call->answer_lost = Draw(target.late_share);
+  }
+  At(delay, [this, call] { ExecuteCall(call); });
+  At(kCallTimeout + call->wait +
+         (call->type == worker_call::kind::kPoll ? kPollMargin - kCallTimeout
+                                                 : milliseconds(0)),
+     [this, call] { FailCall(call, worker_call_result::kUnanswered); });
+}
+
+void system_model::FailCall(const std::shared_ptr<worker_call>& call,
+                            worker_call_result result) {
+  poll_answered poll;
+  poll.result = result;
+  switch (call->type) {
+    case worker_call::kind::kStart:
+      return AnswerCall(call, start_answered{call->id, result, {}, {}});
+    case worker_call::kind::kStop:
+      return AnswerCall(call, stop_answered{call->id, result, {}});
+    case worker_call::kind::kPoll:
+      return AnswerCall(call, std::move(poll));
+  }
+}
+
+void system_model::AnswerCall(const std::shared_ptr<worker_call>& call,
+                              supervisor_event answer) {
+  if (std::exchange(call->resolved, true) ||
+      agents_[call->agent]->life != call->agent_life) {
+    return;
+  }
+  HandleAgent(call->agent, std::move(answer));
+}
+
+// A call ends with the life of the worker that it was sent to.
+void system_model::ExecuteCall(const std::shared_ptr<worker_call>& call) {
+  const auto& target = workers_[call->worker]->life;
+  if (!target || target->life != call->worker_life)
+    return;
+  worker_life& life = *target;
+  const auto answer = [&](worker_call_result result) {
+    if (call->answer_lost)
+      return;
+    At(RandomTime(milliseconds(0), milliseconds(1)),
+       [this, call, result] { FailCall(call, result); });
+  };
+  if (call->target.worker != life.id)
+    return answer(worker_call_result::kOtherIncarnation);
+  if (call->target.fence < life.fence)
+    return answer(worker_call_result::kFenced);
+  life.fence = call->target.fence;
+  const auto clock = std::chrono::duration_cast<milliseconds>(
+      Scale(now_ - life.clock_start, life.clock_rate));
+  life.lease_end = std::max(life.lease_end,
+                            std::min(call->lease_until, clock + kLongestLease));
+  if (call->type == worker_call::kind::kPoll) {
+    std::erase_if(life.ended, [&](const ended_row& row) {
+      return row.sequence <= call->last_end_seen;
+    });
+    call->poll_deadline = now_ + call->wait;
+    life.polls.push_back(call);
+    return;
+  }
+  if (call->type == worker_call::kind::kStop) {
+    const std::string task = TaskName(call->id);
+    auto& highest = life.highest[task];
+    highest = std::max(highest, call->id.run_number);
+    const auto running = life.running.find(task);
+    if (running != life.running.end() &&
+        running->second.number <= call->id.run_number &&
+        !running->second.stops) {
+      running->second.stops = now_ + RandomTime(milliseconds(1), kStopTime);
+    }
+    return answer(worker_call_result::kAccepted);
+  }
+  const worker_call_result result = StartRun(life, *call);
+  if (result != worker_call_result::kAccepted || call->answer_lost)
+    return answer(result);
+  At(RandomTime(milliseconds(0), milliseconds(1)), [this, call, clock] {
+    AnswerCall(call, start_answered{
+                         call->id, worker_call_result::kAccepted, clock, {}});
+  });
+}
+
+worker_call_result system_model::StartRun(worker_life& life,
+                                          const worker_call& call) {
+  const auto clock = std::chrono::duration_cast<milliseconds>(
+      Scale(now_ - life.clock_start, life.clock_rate));
+  if (call.lease_until <= clock)
+    return worker_call_result::kTooLate;
+  const std::string task = TaskName(call.id);
+  const auto running = life.running.find(task);
+  if (running != life.running.end() &&
+      running->second.number == call.id.run_number) {
+    return worker_call_result::kAccepted;
+  }
+  const auto highest = life.highest.find(task);
+  if (running != life.running.end() ||
+      (highest != life.highest.end() &&
+       call.id.run_number <= highest->second)) {
+    return worker_call_result::kSuperseded;
+  }
+  if (RunsElsewhere(task, life)) {
+    violations_.push_back(
+        "two runs of " + task + ", the second on " + life.id + " at " +
+        std::to_string((now_ - monotonic_time(seconds(1000))).count() / 1000) +
+        " ms");
+  }
+  const std::size_t number =
+      static_cast<std::size_t>(std::stoul(call.id.job_key.substr(1)));
+  worker_life::run run;
+  run.number = call.id.run_number;
+  run.id = call.id;
+  run.started = now_;
+  run.ends = now_ + jobs_[number]->run_time;
+  life.running.emplace(task, run);
+  started_tasks_.insert(task);
+  return worker_call_result::kAccepted;
+}
+
+bool system_model::RunsElsewhere(const std::string& task,
+                                 const worker_life& life) const {
+  return std::ranges::any_of(workers_, [&](const auto& other) {
+    return other->life && other->life.get() != &life &&
+           other->life->running.contains(task);
+  });
+}
+
+void system_model::AnswerPoll(worker_life& life,
+                              const std::shared_ptr<worker_call>& call) {
+  if (call->answer_lost)
+    return;
+  poll_answered answer;
+  answer.result = worker_call_result::kAccepted;
+  answer.worker_incarnation = life.born;
+  answer.worker_clock = std::chrono::duration_cast<milliseconds>(
+      Scale(now_ - life.clock_start, life.clock_rate));
+  for (const auto& [task, run] : life.running) {
+    const auto share =
+        100 * (now_ - run.started).count() /
+        std::max<std::int64_t>((run.ends - run.started).count(), 1);
+    answer.running.push_back({run.id, static_cast<std::uint32_t>(
+                                          std::min<std::int64_t>(share, 99))});
+  }
+  answer.ended = life.ended;
+  At(RandomTime(milliseconds(0), milliseconds(1)),
+     [this, call, answer] { AnswerCall(call, answer); });
+}
+
+void system_model::AdvanceWorkers() {
+  for (const auto& target : workers_) {
+    if (!target->life)
+      continue;
+    worker_life& life = *target->life;
+    const auto clock = std::chrono::duration_cast<milliseconds>(
+        Scale(now_ - life.clock_start, life.clock_rate));
+    for (auto it = life.running.begin(); it != life.running.end();) {
+      const worker_life::run& run = it->second;
+      const bool lapsed = clock >= life.lease_end;
+      const bool stopped = run.stops && now_ >= *run.stops;
+      const bool done = !lapsed && !stopped && now_ >= run.ends;
+      if (!lapsed && !stopped && !done) {
+        ++it;
+        continue;
+      }
+      if (done)
+        done_tasks_.insert(it->first);
+      auto& highest = life.highest[it->first];
+      highest = std::max(highest, run.number);
+      life.ended.push_back(
+          {++life.last_end, run.id,
+           done ? wire::run_end::kDone : wire::run_end::kLost});
+      it = life.running.erase(it);
+    }
+    for (const auto& call : std::exchange(life.polls, {})) {
+      if (!life.ended.empty() || now_ >= call->poll_deadline)
+        AnswerPoll(life, call);
+      else
+        life.polls.push_back(call);
+    }
+  }
+}
+
+void system_model::ReportWorker(std::size_t index) {
+  At(kReportInterval, [this, index] { ReportWorker(index); });
+  const auto& life = workers_[index]->life;
+  if (!life)
+    return;
+  worker_report report;
+  report.id = life->id;
+  report.worker_incarnation = life->born;
+  report.desk = "gas";
+  report.address = WorkerAddress(index);
+  report.labels = {"a"};
+  report.capacity = {16000, 32768, 0};
+  report.sequence = ++life->sequence;
+  // Some reports are doubled or arrive after those of a later life.
+  const int copies = Draw(0.1) ? 2 : 1;
+  for (int copy = 0; copy < copies; ++copy) {
+    const microseconds delay =
+        Draw(0.1) ? RandomTime(milliseconds(1), milliseconds(3000))
+                  : RandomTime(milliseconds(0), milliseconds(2));
+    At(delay, [this, index, report] { HandleAgent(index, report); });
+  }
+}
+
+// ---- Callers --------------------------------------------------------------
+
+void system_model::Submit(std::size_t number) {
+  job& sent = *jobs_[number];
+  if (sent.answered || sent.attempts == kMaxAttempts)
+    return;
+  const auto index = static_cast<std::size_t>(
+      std::uniform_int_distribution<std::size_t>(0, kEntries - 1)(random_));
+  entry& target = *entries_[index];
+  if (!target.core) {  // The connection is refused; another entry is tried.
+    At(milliseconds(20), [this, number] { Submit(number); });
+    return;
+  }
+  ++sent.attempts;
+  const std::uint64_t caller = ++last_caller_;
+  jobs_by_caller_[caller] = number;
+  target.callers.insert(caller);
+  job_submission submission =
+      scheduler_driver::MakeJob(caller, sent.key, kTasksPerJob);
+  submission.deadline = milliseconds(2500);
+  submission.steps[0].estimate = sent.run_time;
+  HandleEntry(index, std::move(submission));
+}
+
+void system_model::OnAnswer(const answer_job& answer) {
+  const auto caller = static_cast<std::uint64_t>(answer.caller);
+  const auto found = jobs_by_caller_.find(caller);
+  if (found == jobs_by_caller_.end())
+    return;
+  const std::size_t number = found->second;
+  job& answered = *jobs_[number];
+  jobs_by_caller_.erase(found);
+  for (const auto& each : entries_)
+    each->callers.erase(caller);
+  const auto is_of_job = [&](const std::string& task) {
+    return task.starts_with(answered.key + ".");
+  };
+  switch (answer.state) {
+    case job_state::kCompleted:
+      ++completed_jobs_;
+      answered.answered = true;
+      if (std::ranges::count_if(done_tasks_, is_of_job) <
+          static_cast<std::ptrdiff_t>(kTasksPerJob)) {
+        violations_.push_back(answered.key +
+                              " is completed, but not all of its tasks are");
+      }
+      return;
+    case job_state::kRefused:
+      answered.answered = true;
+      if (answered.attempts == 1 &&
+          std::ranges::any_of(started_tasks_, is_of_job)) {
+        violations_.push_back(answered.key + " is refused, but a task began");
+      }
+      return;
+    case job_state::kOutcomeUnknown:
+      At(kResendDelay, [this, number] { Submit(number); });
+      return;
+    default:
+      return;
+  }
+}
+
+// ---- Faults ---------------------------------------------------------------
+
+void system_model::Inject(const model_fault& fault) {
+  At(fault.at, [this, fault] {
+    const std::size_t entry_index = fault.target % kEntries;
+    const std::size_t index = fault.target % kAgents;
+    worker& target = *workers_[index];
+    agent& beside = *agents_[index];
+    agent::link& link = beside.links[(fault.target / kAgents) % kEntries];
+    worker_report odd;
+    odd.id = fault.target % 2 == 0 ? "odd"
+                                   : "w" + std::to_string(index) + "-" +
+                                         std::to_string(target.ids);
+    odd.worker_incarnation = kFirstBirth + 2'000'000 * (fault.target % 3);
+    odd.desk = "unknown";
+    odd.address = fault.target % 5 == 0 ? WorkerAddress(index) : "10.0.0.99:8";
+    odd.capacity = {16000, 32768, 0};
+    odd.sequence = 1;
+    switch (fault.kind) {
+      case model_fault_kind::kRestartEntry:
+        return KillEntry(entry_index, fault.duration / 3);
+      case model_fault_kind::kRestartAgent:
+        if (!beside.core)
+          return;
+        beside.core.reset();
+        // The last frame of the process also arrives late.
+        for (agent::link& last : beside.links) {
+          if (!last.last_frame)
+            continue;
+          At(RandomTime(milliseconds(0), milliseconds(800)),
+             [this, index, life = beside.life, transport = last.transport,
+              frame = *std::exchange(last.last_frame, std::nullopt)] {
+               DeliverToEntry(index, life, transport, frame);
+             });
+        }
+        beside.life = 0;
+        return At(fault.duration / 3, [this, index] { StartAgent(index); });
+      case model_fault_kind::kRestartWorker:
+      case model_fault_kind::kReplaceWorker:
+        if (!target.life)
+          return;
+        target.life.reset();
+        return At(fault.duration / 2, [this, index, fault] {
+          StartWorker(index, fault.kind == model_fault_kind::kReplaceWorker,
+                      -milliseconds(fault.target % 4 * 1000));
+        });
+      case model_fault_kind::kCutWorker:
+        target.cut_until = now_ + fault.duration / 4;
+        return;
+      case model_fault_kind::kSlowWorker:
+        target.slow_until = now_ + fault.duration;
+        target.late_share = fault.target % 2 == 0 ? 0.3 : 0.8;
+        return;
+      case model_fault_kind::kOddReport:
+        return HandleAgent(index, odd);
+      case model_fault_kind::kDeregister:
+        return HandleAgent(index, worker_deregistered{odd.id});
+      case model_fault_kind::kCutLink:
+        link.cut_until = now_ + fault.duration;
+        return;
+      case model_fault_kind::kReconnectLink:
+        ++link.transport;
+        link.last_to_entry = now_ + fault.duration / 4;
+        return;
+      case model_fault_kind::kCount:
+        return;
+    }
+  });
+}
+
+}  // namespace egretrack::scheduler
