--- a/src/scheduler/run_end_proof.cc
+++ b/src/scheduler/run_end_proof.cc
@@ -17,8 +17,8 @@
 // Two lives of a worker share its id, so that a start call may have reached the
 // later one.
 run_end_proof FindProofOfRestart(const run_evidence& run) {
-  return run.at_current_life ? run_end_proof::kWorkerEnded
-                             : run_end_proof::kNone;
+  return run.at_current_incarnation ? run_end_proof::kWorkerEnded
+                                    : run_end_proof::kNone;
 }
 
 run_end_proof FindProofOfAbsence(const run_evidence& run) {
@@ -51,8 +51,8 @@
       return run_end_proof::kListedEnded;
     if (run.listed->other_worker)
       return run_end_proof::kWorkerEnded;
-    const auto proof = run.listed->other_life ? FindProofOfRestart(run)
-                                              : FindProofOfAbsence(run);
+    const auto proof = run.listed->other_incarnation ? FindProofOfRestart(run)
+                                                     : FindProofOfAbsence(run);
     if (proof != run_end_proof::kNone)
       return proof;
   }
--- a/src/scheduler/run_end_proof.h
+++ b/src/scheduler/run_end_proof.h
@@ -19,7 +19,8 @@
   kNotListed,    // The worker had confirmed the run and no longer lists it.
   kStopped,      // The worker accepted a stop and no longer lists the run.
   kFencedOff,    // The worker ignores the start call and does not list the run.
-  kWorkerEnded,  // Another worker, or another life of it, has its address.
+  kWorkerEnded,  // Another worker, or another incarnation of it, has its
+                 // address.
   kLeaseLapsed,
   kReported,     // At an entry: the agent reported the end.
   kSettled,      // At an entry: the agent has no run of an earlier session.
@@ -33,8 +34,9 @@
 struct listed_run {
   monotonic_time polled_at{};  // When the poll was sent.
   std::uint64_t fence = 0;     // Token of the poll.
-  // Another life of the worker answers than the one that the agent follows.
-  bool other_life = false;
+  // Another incarnation of the worker answers than the one that the agent
+  // follows.
+  bool other_incarnation = false;
   // A worker of another id answers. It refuses calls for the earlier one.
   bool other_worker = false;
   bool ended = false;
@@ -51,8 +53,8 @@
   bool stopping = false;
   monotonic_time confirmed_at = monotonic_time::max();
   monotonic_time stop_accepted_at = monotonic_time::max();
-  // The run is known to be at the worker life that the agent follows.
-  bool at_current_life = false;
+  // The run is known to be at the worker incarnation that the agent follows.
+  bool at_current_incarnation = false;
   std::optional<listed_run> listed;
   monotonic_time lease_end = monotonic_time::max();
 };
--- a/src/scheduler/run_supervisor_impl.h
+++ b/src/scheduler/run_supervisor_impl.h
@@ -33,8 +33,8 @@
   // Something suggests that another worker has taken the place of this one, so
   // that it is polled although nothing runs.
   bool unverified = false;
-  // False after a poll has shown a new life of the worker, whose capacity and
-  // labels are unknown until its next report.
+  // False after a poll has shown a new incarnation of the worker, whose
+  // capacity and labels are unknown until its next report.
   bool described = true;
 };
 
--- a/src/scheduler/run_supervisor_polls.cc
+++ b/src/scheduler/run_supervisor_polls.cc
@@ -137,7 +137,7 @@
 }
 
 // Runs whose worker cannot be reached wait for the lease to lapse, or for a new
-// life of the worker to answer, which shows their end sooner.
+// incarnation of the worker to answer, which shows their end sooner.
 milliseconds run_supervisor_impl::PollRetryDelay(
     worker_call_result failure) const {
   const bool runs_wait =
@@ -226,7 +226,7 @@
                 listed);
   for (auto& [key, run] : runs_.all()) {
     if (run.start_resolved <= poll_sent_at_)
-      run.at_current_life = true;
+      run.at_current_incarnation = true;
   }
 }
 
--- a/src/scheduler/run_supervisor_worker.cc
+++ b/src/scheduler/run_supervisor_worker.cc
@@ -34,7 +34,7 @@
     return;
   }
   // The worker may have started again under its id, in which case it would
-  // accept calls for its earlier life.
+  // accept calls for its earlier incarnation.
   if (successor_ && successor_->report.id == worker_->report.id)
     return;
   resources free = worker_->report.capacity - runs_.UsedResources();
@@ -57,7 +57,7 @@
   ++starts_in_flight_;
   run.start_fence = fence_;
   run.start_resolved = monotonic_time::max();
-  run.at_current_life = false;
+  run.at_current_incarnation = false;
   run.lease_confirmed = false;
   run.lease_until = lease_.Renew(now_);
   commands_->emplace_back(
@@ -242,13 +242,13 @@
     evidence.confirmed_at = run.confirmed;
   if (run.stop_accepted)
     evidence.stop_accepted_at = run.stop_accepted_at;
-  evidence.at_current_life = run.at_current_life;
+  evidence.at_current_incarnation = run.at_current_incarnation;
   evidence.lease_end = LeaseEnd(run);
   return evidence;
 }
 
 monotonic_time run_supervisor_impl::LeaseEnd(const agent_run& run) const {
-  if (run.at_current_life || run.lease_confirmed)
+  if (run.at_current_incarnation || run.lease_confirmed)
     return lease_.expires_at();
   return std::max(lease_.expires_at(), lease_.latest_expiry());
 }
@@ -338,9 +338,9 @@
   ForgetWorker(decision_kind::kWorkerRestarted);
 }
 
-// The worker has started again under its id. A start call for its earlier life
-// may have reached the new one, or may still do so. From the first poll with a
-// higher token on, the worker ignores such calls.
+// The worker has started again under its id. A start call for its earlier
+// incarnation may have reached the new one, or may still do so. From the first
+// poll with a higher token on, the worker ignores such calls.
 void run_supervisor_impl::OnWorkerRestarted(std::int64_t worker_incarnation) {
   RecordDecision(decision_kind::kWorkerRestarted, "",
                  {{"worker", worker_->report.id},
@@ -348,7 +348,7 @@
                   {"new_born_ms", worker_incarnation},
                   {"runs", static_cast<std::int64_t>(runs_.CountAtWorker())}});
   listed_run listed;
-  listed.other_life = true;
+  listed.other_incarnation = true;
   EndProvenRuns(listed);
   RefuseQueuedRuns(wire::run_reason::kNoWorker);
   worker_report report = std::move(worker_->report);
--- a/src/scheduler/run_table.h
+++ b/src/scheduler/run_table.h
@@ -38,11 +38,12 @@
   monotonic_time start_resolved = monotonic_time::max();
   milliseconds lease_until{0};  // Requested by the last start call.
   // The worker's answer to the start call shows that the run's lease ends with
-  // that of the life that the agent follows.
+  // that of the incarnation that the agent follows.
   bool lease_confirmed = false;
-  // The worker life that the agent follows has answered a poll sent after
-  // `start_resolved`, so that no start call can reach a later life.
-  bool at_current_life = false;
+  // The worker incarnation that the agent follows has answered a poll sent
+  // after `start_resolved`, so that no start call can reach a later
+  // incarnation.
+  bool at_current_incarnation = false;
   std::uint32_t renumberings = 0;
   std::uint32_t percent = 0;
   monotonic_time last_progress{};
--- a/src/scheduler/tests/run_end_proof_test.cc
+++ b/src/scheduler/tests/run_end_proof_test.cc
@@ -70,12 +70,13 @@
   EXPECT_EQ(FindRunEndProof(run, kNow), run_end_proof::kNone);
 }
 
-// Guards against ending a run with the life of its worker that did not have it.
-TEST(RunEndProof, LaterLifeEndsRunsOfTheEarlierOneOnly) {
-  run_evidence run = StartedRun({.polled_at = kNow, .other_life = true});
+// Guards against ending a run with the incarnation of its worker that did not
+// have it.
+TEST(RunEndProof, LaterIncarnationEndsRunsOfTheEarlierOneOnly) {
+  run_evidence run = StartedRun({.polled_at = kNow, .other_incarnation = true});
   run.confirmed_at = kStart;
   EXPECT_EQ(FindRunEndProof(run, kNow), run_end_proof::kNone);
-  run.at_current_life = true;
+  run.at_current_incarnation = true;
   EXPECT_EQ(FindRunEndProof(run, kNow), run_end_proof::kWorkerEnded);
   run = StartedRun({.polled_at = kNow, .other_worker = true});
   EXPECT_EQ(FindRunEndProof(run, kNow), run_end_proof::kWorkerEnded);
--- a/src/scheduler/tests/run_supervisor_test.cc
+++ b/src/scheduler/tests/run_supervisor_test.cc
@@ -664,8 +664,8 @@
 }
 
 // Guards against ignoring a restarted worker because the time of day was set
-// back, so that it reports an earlier birth than its last life. Tasks were then
-// started on the new life in the name of the old one.
+// back, so that it reports an earlier birth than its last incarnation. Tasks
+// were then started on the new incarnation in the name of the old one.
 TEST_F(RunSupervisor, FollowsRestartedWorkerThatIsBornEarlier) {
   RestartWorker(500);
   driver_.AnswerHeartbeats();
@@ -690,9 +690,9 @@
   EXPECT_EQ(driver_.Commands<start_run>().size(), 1U);
 }
 
-// Guards against giving up a run that was started on a life of the worker of
-// which the agent did not know. It ran on beside its next run.
-TEST_F(RunSupervisor, StopsRunThatStartedOnAnUnknownLife) {
+// Guards against giving up a run that was started on a incarnation of the
+// worker of which the agent did not know. It ran on beside its next run.
+TEST_F(RunSupervisor, StopsRunThatStartedOnAnUnknownIncarnation) {
   StartConfirmedRun(0);
   const auto fence = driver_.Commands<start_run>()[0].target.fence;
   driver_.AdvanceTime(milliseconds(5));
@@ -709,9 +709,9 @@
   EXPECT_EQ(driver_.Reports()[0].end, run_end::kLost);
 }
 
-// Guards against waiting for a run that the earlier life took with it, and
-// against reporting it as not run.
-TEST_F(RunSupervisor, ReportsRunOfUnknownLifeOnceStartIsFencedOff) {
+// Guards against waiting for a run that the earlier incarnation took with it,
+// and against reporting it as not run.
+TEST_F(RunSupervisor, ReportsRunOfUnknownIncarnationOnceStartIsFencedOff) {
   StartConfirmedRun(0);
   driver_.AdvanceTime(milliseconds(5));
   driver_.AnswerPoll({}, {}, 2000);
@@ -724,9 +724,9 @@
   EXPECT_EQ(driver_.Reports()[0].end, run_end::kLost);
 }
 
-// Guards against a late start call that reaches the new life of a worker after
-// its task was given up: until the new life knows a higher token than that of
-// the call, nothing is reported and nothing starts.
+// Guards against a late start call that reaches the new incarnation of a worker
+// after its task was given up: until the new incarnation knows a higher token
+// than that of the call, nothing is reported and nothing starts.
 TEST_F(RunSupervisor, ReconcilesRestartedWorkerWithAHigherFence) {
   driver_.Dispatch(0);
   driver_.AdvanceTime(milliseconds(5));
@@ -743,9 +743,9 @@
   EXPECT_EQ(driver_.Reports().size(), 2U);
 }
 
-// Guards against waiting for the runs of an earlier life at the address where a
-// later one answers.
-TEST_F(RunSupervisor, ReportsRunsOfEarlierLifeAtOnce) {
+// Guards against waiting for the runs of an earlier incarnation at the address
+// where a later one answers.
+TEST_F(RunSupervisor, ReportsRunsOfEarlierIncarnationAtOnce) {
   StartConfirmedRun(0);
   driver_.AdvanceTime(milliseconds(35));
   driver_.AnswerPoll({{supervisor_driver::RunId(0), 10}});
--- a/src/scheduler/tests/system_model.cc
+++ b/src/scheduler/tests/system_model.cc
@@ -48,7 +48,7 @@
 
 struct system_model::entry {
   std::unique_ptr<job_scheduler> core;  // Null while down.
-  std::uint64_t life = 0;
+  std::uint64_t process = 0;
   microseconds clock_offset{0};
   monotonic_time wakeup{};
   std::set<std::uint64_t> callers;
@@ -64,14 +64,14 @@
     std::optional<send_to_entry> last_frame;
   };
   std::unique_ptr<run_supervisor> core;  // Null while down.
-  std::uint64_t life = 0;
+  std::uint64_t process = 0;
   microseconds clock_offset{0};
   monotonic_time wakeup{};
   std::vector<link> links{kEntries};
   std::optional<worker_report> stored;
 };
 
-struct system_model::worker_life {
+struct system_model::worker_process {
   struct run {
     std::uint32_t number = 0;
     run_id id;
@@ -79,7 +79,7 @@
     monotonic_time ends;
     std::optional<monotonic_time> stops;
   };
-  std::uint64_t life = 0;
+  std::uint64_t process = 0;
   std::size_t worker = 0;
   std::string id;
   std::int64_t born = 0;
@@ -96,7 +96,7 @@
 };
 
 struct system_model::worker {
-  std::unique_ptr<worker_life> life;  // Null while down.
+  std::unique_ptr<worker_process> process;  // Null while down.
   std::uint64_t ids = 0;
   monotonic_time cut_until{};
   monotonic_time slow_until{};
@@ -107,16 +107,16 @@
   enum class kind : std::uint8_t { kStart, kStop, kPoll };
   kind type = kind::kPoll;
   std::size_t agent = 0;
-  std::uint64_t agent_life = 0;
+  std::uint64_t agent_process = 0;
   worker_call_target target;
   run_id id;
   std::string spec;
   milliseconds lease_until{0};
   milliseconds wait{0};
   std::uint64_t last_end_seen = 0;
-  std::size_t worker = kAgents;   // Index; kAgents if nobody listens.
-  std::uint64_t worker_life = 0;  // That the call was sent to.
-  bool resolved = false;          // The agent has its outcome.
+  std::size_t worker = kAgents;      // Index; kAgents if nobody listens.
+  std::uint64_t worker_process = 0;  // That the call was sent to.
+  bool resolved = false;             // The agent has its outcome.
   bool answer_lost = false;
   monotonic_time poll_deadline{};
 };
@@ -199,11 +199,11 @@
   entry& target = *entries_[index];
   scheduler_options options;
   options.entry = "e" + std::to_string(index);
-  options.entry_incarnation = incarnation{++last_life_};
+  options.entry_incarnation = incarnation{++last_process_};
   options.failure_domain = "palermo";
   ApplyLimits(Limits(), options);
   target.core = job_scheduler::Create(options).value();
-  target.life = last_life_;
+  target.process = last_process_;
   target.clock_offset = RandomTime(milliseconds(0), seconds(100));
   HandleEntry(index,
               configuration_received{scheduler_driver::MakeConfiguration(1)});
@@ -213,13 +213,13 @@
   agent& target = *agents_[index];
   supervisor_options options;
   options.agent = "a" + std::to_string(index);
-  options.agent_incarnation = incarnation{++last_life_};
+  options.agent_incarnation = incarnation{++last_process_};
   options.failure_domain = "palermo";
   options.first_fence =
       static_cast<std::uint64_t>(now_.time_since_epoch().count() / 1000);
   ApplyLimits(Limits(), options);
   target.core = run_supervisor::Create(options).value();
-  target.life = last_life_;
+  target.process = last_process_;
   target.clock_offset = RandomTime(milliseconds(0), seconds(100));
   entries_discovered discovered;
   for (std::size_t entry = 0; entry < kEntries; ++entry) {
@@ -238,17 +238,17 @@
   worker& target = *workers_[index];
   if (new_id)
     ++target.ids;
-  auto life = std::make_unique<worker_life>();
-  life->life = ++last_life_;
-  life->worker = index;
-  life->id = "w" + std::to_string(index) + "-" + std::to_string(target.ids);
-  life->born = kFirstBirth + std::chrono::duration_cast<milliseconds>(
-                                 now_.time_since_epoch() + birth_offset)
-                                 .count();
-  life->clock_start = now_ - RandomTime(milliseconds(0), seconds(5));
-  life->clock_rate =
+  auto process = std::make_unique<worker_process>();
+  process->process = ++last_process_;
+  process->worker = index;
+  process->id = "w" + std::to_string(index) + "-" + std::to_string(target.ids);
+  process->born = kFirstBirth + std::chrono::duration_cast<milliseconds>(
+                                    now_.time_since_epoch() + birth_offset)
+                                    .count();
+  process->clock_start = now_ - RandomTime(milliseconds(0), seconds(5));
+  process->clock_rate =
       std::uniform_real_distribution<double>(kSlowestWorkerClock, 1)(random_);
-  target.life = std::move(life);
+  target.process = std::move(process);
 }
 
 void system_model::HandleEntry(std::size_t index,
@@ -345,39 +345,39 @@
   link.last_to_entry = std::max(
       link.last_to_entry, now_ + RandomTime(milliseconds(0), milliseconds(2)));
   link.last_frame = command;
-  events_.emplace(link.last_to_entry,
-                  [this, from, life = sender.life, transport = link.transport,
-                   command = std::move(command)]() mutable {
-                    DeliverToEntry(from, life, transport, std::move(command));
-                  });
+  events_.emplace(link.last_to_entry, [this, from, process = sender.process,
+                                       transport = link.transport,
+                                       command = std::move(command)]() mutable {
+    DeliverToEntry(from, process, transport, std::move(command));
+  });
 }
 
 // The transport keeps frames for an entry that is down, and reconnects.
 void system_model::DeliverToEntry(std::size_t from,
-                                  std::uint64_t agent_life,
+                                  std::uint64_t agent_process,
                                   std::uint64_t transport,
                                   send_to_entry command) {
   const std::size_t to = command.entry;
   entry& receiver = *entries_[to];
   if (!receiver.core) {
-    if (agents_[from]->life == agent_life &&
+    if (agents_[from]->process == agent_process &&
         agents_[from]->links[to].transport == transport) {
-      At(milliseconds(5), [this, from, agent_life, transport,
+      At(milliseconds(5), [this, from, agent_process, transport,
                            command = std::move(command)]() mutable {
-        DeliverToEntry(from, agent_life, transport, std::move(command));
+        DeliverToEntry(from, agent_process, transport, std::move(command));
       });
     }
     return;
   }
-  const std::string name = std::to_string(agent_life) + "/" +
+  const std::string name = std::to_string(agent_process) + "/" +
                            std::to_string(transport) + "/" +
-                           std::to_string(receiver.life);
+                           std::to_string(receiver.process);
   const auto [found, added] = link_ids_.emplace(name, link_ids_.size() + 1);
   if (added) {
-    links_[found->second] = [this, from, to, agent_life,
+    links_[found->second] = [this, from, to, agent_process,
                              transport](wire::entry_run_frame frame) {
       agent& target = *agents_[from];
-      if (target.life != agent_life || !target.core ||
+      if (target.process != agent_process || !target.core ||
           target.links[to].transport != transport) {
         return;
       }
@@ -395,7 +395,7 @@
       std::find_if(agents_.begin(), agents_.end(),
                    [&](const auto& candidate) {
                      const std::string prefix =
-                         std::to_string(candidate->life) + "/";
+                         std::to_string(candidate->process) + "/";
                      return std::ranges::any_of(link_ids_, [&](const auto& id) {
                        return id.second == link && id.first.starts_with(prefix);
                      });
@@ -417,13 +417,13 @@
 void system_model::CallWorker(std::size_t from, worker_call values) {
   auto call = std::make_shared<worker_call>(std::move(values));
   call->agent = from;
-  call->agent_life = agents_[from]->life;
+  call->agent_process = agents_[from]->process;
   for (std::size_t index = 0; index < kAgents; ++index) {
     if (WorkerAddress(index) == call->target.address)
       call->worker = index;
   }
   const bool reachable = call->worker < kAgents &&
-                         workers_[call->worker]->life &&
+                         workers_[call->worker]->process &&
                          now_ >= workers_[call->worker]->cut_until;
   if (!reachable) {
     At(microseconds(300),
@@ -431,7 +431,7 @@
     return;
   }
   const worker& target = *workers_[call->worker];
-  call->worker_life = target.life->life;
+  call->worker_process = target.process->process;
   microseconds delay = RandomTime(milliseconds(0), milliseconds(1));
   if (now_ < target.slow_until) {
     if (Draw(target.late_share))
@@ -462,54 +462,54 @@
 void system_model::AnswerCall(const std::shared_ptr<worker_call>& call,
                               supervisor_event answer) {
   if (std::exchange(call->resolved, true) ||
-      agents_[call->agent]->life != call->agent_life) {
+      agents_[call->agent]->process != call->agent_process) {
     return;
   }
   HandleAgent(call->agent, std::move(answer));
 }
 
-// A call ends with the life of the worker that it was sent to.
+// A call ends with the process of the worker that it was sent to.
 void system_model::ExecuteCall(const std::shared_ptr<worker_call>& call) {
-  const auto& target = workers_[call->worker]->life;
-  if (!target || target->life != call->worker_life)
+  const auto& target = workers_[call->worker]->process;
+  if (!target || target->process != call->worker_process)
     return;
-  worker_life& life = *target;
+  worker_process& process = *target;
   const auto answer = [&](worker_call_result result) {
     if (call->answer_lost)
       return;
     At(RandomTime(milliseconds(0), milliseconds(1)),
        [this, call, result] { FailCall(call, result); });
   };
-  if (call->target.worker != life.id)
+  if (call->target.worker != process.id)
     return answer(worker_call_result::kOtherIncarnation);
-  if (call->target.fence < life.fence)
+  if (call->target.fence < process.fence)
     return answer(worker_call_result::kFenced);
-  life.fence = call->target.fence;
+  process.fence = call->target.fence;
   const auto clock = std::chrono::duration_cast<milliseconds>(
-      Scale(now_ - life.clock_start, life.clock_rate));
-  life.lease_end = std::max(life.lease_end,
-                            std::min(call->lease_until, clock + kLongestLease));
+      Scale(now_ - process.clock_start, process.clock_rate));
+  process.lease_end = std::max(
+      process.lease_end, std::min(call->lease_until, clock + kLongestLease));
   if (call->type == worker_call::kind::kPoll) {
-    std::erase_if(life.ended, [&](const ended_row& row) {
+    std::erase_if(process.ended, [&](const ended_row& row) {
       return row.sequence <= call->last_end_seen;
     });
     call->poll_deadline = now_ + call->wait;
-    life.polls.push_back(call);
+    process.polls.push_back(call);
     return;
   }
   if (call->type == worker_call::kind::kStop) {
     const std::string task = TaskName(call->id);
-    auto& highest = life.highest[task];
+    auto& highest = process.highest[task];
     highest = std::max(highest, call->id.run_number);
-    const auto running = life.running.find(task);
-    if (running != life.running.end() &&
+    const auto running = process.running.find(task);
+    if (running != process.running.end() &&
         running->second.number <= call->id.run_number &&
         !running->second.stops) {
       running->second.stops = now_ + RandomTime(milliseconds(1), kStopTime);
     }
     return answer(worker_call_result::kAccepted);
   }
-  const worker_call_result result = StartRun(life, *call);
+  const worker_call_result result = StartRun(process, *call);
   if (result != worker_call_result::kAccepted || call->answer_lost)
     return answer(result);
   At(RandomTime(milliseconds(0), milliseconds(1)), [this, call, clock] {
@@ -518,81 +518,81 @@
   });
 }
 
-worker_call_result system_model::StartRun(worker_life& life,
+worker_call_result system_model::StartRun(worker_process& process,
                                           const worker_call& call) {
   const auto clock = std::chrono::duration_cast<milliseconds>(
-      Scale(now_ - life.clock_start, life.clock_rate));
+      Scale(now_ - process.clock_start, process.clock_rate));
   if (call.lease_until <= clock)
     return worker_call_result::kTooLate;
   const std::string task = TaskName(call.id);
-  const auto running = life.running.find(task);
-  if (running != life.running.end() &&
+  const auto running = process.running.find(task);
+  if (running != process.running.end() &&
       running->second.number == call.id.run_number) {
     return worker_call_result::kAccepted;
   }
-  const auto highest = life.highest.find(task);
-  if (running != life.running.end() ||
-      (highest != life.highest.end() &&
+  const auto highest = process.highest.find(task);
+  if (running != process.running.end() ||
+      (highest != process.highest.end() &&
        call.id.run_number <= highest->second)) {
     return worker_call_result::kSuperseded;
   }
-  if (RunsElsewhere(task, life)) {
+  if (RunsElsewhere(task, process)) {
     violations_.push_back(
-        "two runs of " + task + ", the second on " + life.id + " at " +
+        "two runs of " + task + ", the second on " + process.id + " at " +
         std::to_string((now_ - monotonic_time(seconds(1000))).count() / 1000) +
         " ms");
   }
   const std::size_t number =
       static_cast<std::size_t>(std::stoul(call.id.job_key.substr(1)));
-  worker_life::run run;
+  worker_process::run run;
   run.number = call.id.run_number;
   run.id = call.id;
   run.started = now_;
   run.ends = now_ + jobs_[number]->run_time;
-  life.running.emplace(task, run);
+  process.running.emplace(task, run);
   started_tasks_.insert(task);
   return worker_call_result::kAccepted;
 }
 
 bool system_model::RunsElsewhere(const std::string& task,
-                                 const worker_life& life) const {
+                                 const worker_process& process) const {
   return std::ranges::any_of(workers_, [&](const auto& other) {
-    return other->life && other->life.get() != &life &&
-           other->life->running.contains(task);
+    return other->process && other->process.get() != &process &&
+           other->process->running.contains(task);
   });
 }
 
-void system_model::AnswerPoll(worker_life& life,
+void system_model::AnswerPoll(worker_process& process,
                               const std::shared_ptr<worker_call>& call) {
   if (call->answer_lost)
     return;
   poll_answered answer;
   answer.result = worker_call_result::kAccepted;
-  answer.worker_incarnation = life.born;
+  answer.worker_incarnation = process.born;
   answer.worker_clock = std::chrono::duration_cast<milliseconds>(
-      Scale(now_ - life.clock_start, life.clock_rate));
-  for (const auto& [task, run] : life.running) {
+      Scale(now_ - process.clock_start, process.clock_rate));
+  for (const auto& [task, run] : process.running) {
     const auto share =
         100 * (now_ - run.started).count() /
         std::max<std::int64_t>((run.ends - run.started).count(), 1);
     answer.running.push_back({run.id, static_cast<std::uint32_t>(
                                           std::min<std::int64_t>(share, 99))});
   }
-  answer.ended = life.ended;
+  answer.ended = process.ended;
   At(RandomTime(milliseconds(0), milliseconds(1)),
      [this, call, answer] { AnswerCall(call, answer); });
 }
 
 void system_model::AdvanceWorkers() {
   for (const auto& target : workers_) {
-    if (!target->life)
+    if (!target->process)
       continue;
-    worker_life& life = *target->life;
+    worker_process& process = *target->process;
     const auto clock = std::chrono::duration_cast<milliseconds>(
-        Scale(now_ - life.clock_start, life.clock_rate));
-    for (auto it = life.running.begin(); it != life.running.end();) {
-      const worker_life::run& run = it->second;
-      const bool lapsed = clock >= life.lease_end;
+        Scale(now_ - process.clock_start, process.clock_rate));
+    for (auto it = process.running.begin(); it != process.running.end();) {
+      const worker_process::run& run = it->second;
+      const bool lapsed = clock >= process.lease_end;
       const bool stopped = run.stops && now_ >= *run.stops;
       const bool done = !lapsed && !stopped && now_ >= run.ends;
       if (!lapsed && !stopped && !done) {
@@ -601,36 +601,36 @@
       }
       if (done)
         done_tasks_.insert(it->first);
-      auto& highest = life.highest[it->first];
+      auto& highest = process.highest[it->first];
       highest = std::max(highest, run.number);
-      life.ended.push_back(
-          {++life.last_end, run.id,
+      process.ended.push_back(
+          {++process.last_end, run.id,
            done ? wire::run_end::kDone : wire::run_end::kLost});
-      it = life.running.erase(it);
+      it = process.running.erase(it);
     }
-    for (const auto& call : std::exchange(life.polls, {})) {
-      if (!life.ended.empty() || now_ >= call->poll_deadline)
-        AnswerPoll(life, call);
+    for (const auto& call : std::exchange(process.polls, {})) {
+      if (!process.ended.empty() || now_ >= call->poll_deadline)
+        AnswerPoll(process, call);
       else
-        life.polls.push_back(call);
+        process.polls.push_back(call);
     }
   }
 }
 
 void system_model::ReportWorker(std::size_t index) {
   At(kReportInterval, [this, index] { ReportWorker(index); });
-  const auto& life = workers_[index]->life;
-  if (!life)
+  const auto& process = workers_[index]->process;
+  if (!process)
     return;
   worker_report report;
-  report.id = life->id;
-  report.worker_incarnation = life->born;
+  report.id = process->id;
+  report.worker_incarnation = process->born;
   report.desk = "gas";
   report.address = WorkerAddress(index);
   report.labels = {"a"};
   report.capacity = {16000, 32768, 0};
-  report.sequence = ++life->sequence;
-  // Some reports are doubled or arrive after those of a later life.
+  report.sequence = ++process->sequence;
+  // Some reports are doubled or arrive after those of a later process.
   const int copies = Draw(0.1) ? 2 : 1;
   for (int copy = 0; copy < copies; ++copy) {
     const microseconds delay =
@@ -732,18 +732,18 @@
           if (!last.last_frame)
             continue;
           At(RandomTime(milliseconds(0), milliseconds(800)),
-             [this, index, life = beside.life, transport = last.transport,
+             [this, index, process = beside.process, transport = last.transport,
               frame = *std::exchange(last.last_frame, std::nullopt)] {
-               DeliverToEntry(index, life, transport, frame);
+               DeliverToEntry(index, process, transport, frame);
              });
         }
-        beside.life = 0;
+        beside.process = 0;
         return At(fault.duration / 3, [this, index] { StartAgent(index); });
       case model_fault_kind::kRestartWorker:
       case model_fault_kind::kReplaceWorker:
-        if (!target.life)
+        if (!target.process)
           return;
-        target.life.reset();
+        target.process.reset();
         return At(fault.duration / 2, [this, index, fault] {
           StartWorker(index, fault.kind == model_fault_kind::kReplaceWorker,
                       -milliseconds(fault.target % 4 * 1000));
--- a/src/scheduler/tests/system_model.h
+++ b/src/scheduler/tests/system_model.h
@@ -23,7 +23,7 @@
   kReplaceWorker,  // By one with another id.
   kCutWorker,      // The agent cannot connect; the worker runs on.
   kSlowWorker,     // Calls are answered or executed late, or not at all.
-  kOddReport,      // Of a worker that does not exist, or of another life.
+  kOddReport,      // Of a worker that does not exist, or of another process.
   kDeregister,     // Sent by another process.
   kCutLink,        // Frames between an entry and an agent are lost.
   kReconnectLink,  // By the transport; frames on the way arrive late.
@@ -58,7 +58,7 @@
   struct entry;
   struct agent;
   struct worker;
-  struct worker_life;
+  struct worker_process;
   struct worker_call;
   struct job;
 
@@ -75,7 +75,7 @@
   // ---- Network ----
   void SendToEntry(std::size_t from, send_to_entry command);
   void DeliverToEntry(std::size_t from,
-                      std::uint64_t agent_life,
+                      std::uint64_t agent_process,
                       std::uint64_t transport,
                       send_to_entry command);
   void SendToAgent(std::size_t from, send_to_agent command);
@@ -87,11 +87,13 @@
                   supervisor_event answer);
   void FailCall(const std::shared_ptr<worker_call>& call,
                 worker_call_result result);
-  void AnswerPoll(worker_life& life, const std::shared_ptr<worker_call>& call);
-  worker_call_result StartRun(worker_life& life, const worker_call& call);
+  void AnswerPoll(worker_process& process,
+                  const std::shared_ptr<worker_call>& call);
+  worker_call_result StartRun(worker_process& process, const worker_call& call);
   void ReportWorker(std::size_t index);
   void AdvanceWorkers();
-  bool RunsElsewhere(const std::string& task, const worker_life& life) const;
+  bool RunsElsewhere(const std::string& task,
+                     const worker_process& process) const;
 
   // ---- Callers ----
   void Submit(std::size_t number);
@@ -113,7 +115,7 @@
   std::map<std::uint64_t, std::function<void(wire::entry_run_frame)>> links_;
   std::set<std::string> started_tasks_;
   std::set<std::string> done_tasks_;
-  std::uint64_t last_life_ = 0;
+  std::uint64_t last_process_ = 0;
   std::uint64_t last_caller_ = 0;
   std::size_t completed_jobs_ = 0;
   std::vector<std::string> violations_;
