Keep a dispatch that a resumed entry has just made to a silent agent

Callers could have seen a task run twice: an entry that was suspended for over 1.4 s handles a waiting job first, dispatches its tasks, and then takes the agents for silent and all their tasks for lost, also those just dispatched. The dispatches are sent all the same.

Cause: the time by which a silent agent has stopped a run counted from the last frame to it, which was older than the dispatch.

JobScheduler.KeepsDispatchMadeRightAfterASuspension fails without the change (6 tasks lost in place of 2).

Change: the time counts from the last frame or the dispatch, whichever is later.

--- a/src/scheduler/job_scheduler_agents.cc
+++ b/src/scheduler/job_scheduler_agents.cc
@@ -216,8 +216,10 @@
     const scheduled_task& task) const {
   dispatch_evidence evidence;
   evidence.earlier_session = task.session != view.session;
+  // The dispatch itself may not have been sent yet.
+  const monotonic_time last_sent = std::max(view.last_sent, task.dispatched_at);
   if (view.silent)
-    evidence.agent_stops_by = view.last_sent + options_.lost_run_timeout;
+    evidence.agent_stops_by = last_sent + options_.lost_run_timeout;
   if (evidence.earlier_session && view.previous_runs_end) {
     evidence.agent_stops_by =
         std::min(evidence.agent_stops_by, *view.previous_runs_end);
--- a/src/scheduler/tests/job_scheduler_test.cc
+++ b/src/scheduler/tests/job_scheduler_test.cc
@@ -154,6 +154,21 @@
   EXPECT_TRUE(driver.RequestsReconnect());
 }
 
+// Guards against an entry that was suspended and takes a task for lost that it
+// has just dispatched to a silent agent, because its last frame to this agent
+// is old. The dispatch was sent all the same, and the task ran twice (soak seed
+// 713).
+TEST_F(JobScheduler, KeepsDispatchMadeRightAfterASuspension) {
+  auto job = scheduler_driver::MakeJob(1, "j", 2);
+  job.deadline = seconds(10);
+  driver_.Handle(job);
+  ASSERT_EQ(driver_.TakeDispatched().size(), 2U);
+  driver_.now += milliseconds(1600);
+  driver_.Handle(scheduler_driver::MakeJob(2, "k", 4));
+  EXPECT_EQ(driver_.TakeDispatched().size(), 4U);
+  EXPECT_EQ(driver_.core->counters().tasks_lost, 2U);
+}
+
 // Guards against a late first frame of an agent process that has ended, which
 // takes the place of the current process or gives up its runs. An entry that
 // has restarted since does not know which one was earlier.
