End a dispatch once when its report ends the job

Operators saw agent_lost outstanding= in logs; the entry took the agent for busy and sent a needless cancellation.

Cause: a report that ends the job left the task outstanding after its dispatch had ended, and the end of the job ended the dispatch again.

JobScheduler.EndsDispatchOnceWhenItsReportEndsTheJob fails without the change.

Change: the end of a dispatch leaves the task no longer outstanding.

--- a/src/scheduler/job_scheduler_agents.cc
+++ b/src/scheduler/job_scheduler_agents.cc
@@ -264,6 +264,7 @@
   --job.outstanding;
   --outstanding_;
   --ended.agent->outstanding;
+  ended.phase = task_phase::kWaiting;
   ended.is_trial = false;
 }
 
--- a/src/scheduler/job_scheduler_dispatch.cc
+++ b/src/scheduler/job_scheduler_dispatch.cc
@@ -183,7 +183,6 @@
     if (task.is_trial)
       view.health.AbandonTrial();
     EndDispatch(job, index);
-    task.phase = task_phase::kWaiting;
     // An agent that is silent or has a new session stops the run without a
     // message; a message would only show the agent that this entry is alive.
     if (view.silent || task.session != view.session)
--- a/src/scheduler/tests/job_scheduler_test.cc
+++ b/src/scheduler/tests/job_scheduler_test.cc
@@ -154,6 +154,17 @@
   EXPECT_TRUE(driver.RequestsReconnect());
 }
 
+// Guards against ending a dispatch twice when its report ends the job: once for
+// the report, and once when the job's outstanding tasks are cancelled.
+TEST_F(JobScheduler, EndsDispatchOnceWhenItsReportEndsTheJob) {
+  driver_.Configure(2, 1);
+  driver_.Handle(scheduler_driver::MakeJob(1, "j"));
+  driver_.Report(driver_.TakeDispatched().at(0), wire::run_end::kFailed);
+  ASSERT_TRUE(driver_.AnswerFor(1).has_value());
+  EXPECT_EQ(driver_.core->gauges().tasks_outstanding, 0U);
+  EXPECT_EQ(driver_.CountCancelMessages(), 0U);
+}
+
 // Guards against an entry that was suspended and takes a task for lost that it
 // has just dispatched to a silent agent, because its last frame to this agent
 // is old. The dispatch was sent all the same, and the task ran twice (soak seed
