--- a/src/scheduler/run_end_proof.cc
+++ b/src/scheduler/run_end_proof.cc
@@ -14,8 +14,8 @@
     "not_listed",   "stopped",  "fenced_off", "worker_ended",
     "lease_lapsed", "reported", "settled",    "agent_silent"};
 
-// Two lives of a worker share its id, so that a start call may have reached the
-// later one.
+// Two incarnations of a worker share its id, so that a start call may have
+// reached the later one.
 run_end_proof FindProofOfRestart(const run_evidence& run) {
   return run.at_current_incarnation ? run_end_proof::kWorkerEnded
                                     : run_end_proof::kNone;
