Add the wire fields for evacuations and virtual deadlines

The fields are optional, so that frames of earlier releases are still read. An evacuation as the reason of a returned task travels as "draining" with a flag, since a release that does not know a new enumerator rejects the whole frame. Nothing sets the fields yet except the virtual deadline, which equals the target.

--- a/src/include/egretrack/wire/run_messages.h
+++ b/src/include/egretrack/wire/run_messages.h
@@ -42,6 +42,7 @@
   kLeaseLapsed,
   kWorkerLost,
   kEntrySilent,
+  kEvacuated,  // The worker's failure domain is evacuated.
 };
 
 // Stable names for logs, for example "queued_too_long".
@@ -56,6 +57,16 @@
   bool operator==(const entry_member&) const = default;
 };
 
+// Whether a failure domain is evacuated: its workers start nothing new. Of two
+// values for one domain the one with the higher version holds.
+struct domain_evacuation {
+  std::string domain;
+  std::uint64_t version = 0;  // Of the store, when the value was set.
+  bool evacuated = false;
+
+  bool operator==(const domain_evacuation&) const = default;
+};
+
 // ---- Agent to entry -------------------------------------------------------
 
 // Load of the agent's worker. Replaces the load in all earlier frames.
@@ -85,6 +96,9 @@
   bool draining = false;             // The agent or its worker is draining.
   // Every run of earlier connections and incarnations of the agent has ended.
   bool settled = false;
+  std::uint64_t evacuations_hash = 0;  // Of those known to the agent.
+  // Empty unless the entry's last hash differs.
+  std::vector<domain_evacuation> evacuations;
 
   bool operator==(const agent_beat&) const = default;
 };
@@ -125,6 +139,9 @@
   std::vector<entry_member> members;  // Empty when the agent's hash is equal.
   // The entry lost frames of this connection; the agent must open a new one.
   bool reconnect = false;
+  std::uint64_t evacuations_hash = 0;
+  // Empty when the agent's hash is equal.
+  std::vector<domain_evacuation> evacuations;
 
   bool operator==(const beat_reply&) const = default;
 };
@@ -144,6 +161,9 @@
   microseconds target{0};
   // The agent returns the task if it has not started within this time.
   microseconds queue_bound{0};
+  // Agents start tasks in the order of these times, which are relative as
+  // `target` is; equal to it for a dispatch of an earlier release.
+  microseconds virtual_deadline{0};
 
   bool operator==(const run_dispatch&) const = default;
 };
--- a/src/scheduler/job_scheduler_dispatch.cc
+++ b/src/scheduler/job_scheduler_dispatch.cc
@@ -162,6 +162,7 @@
   dispatch.predicted = chosen->run;
   dispatch.start_by = job.deadline - Scale(chosen->run, kStartByShare);
   dispatch.target = job.target - now_;
+  dispatch.virtual_deadline = dispatch.target;
   dispatch.queue_bound = QueueBound(*chosen, dispatch.target);
   view.RecordDispatch(step.spec.need);
   view.outgoing.emplace_back(std::move(dispatch));
--- a/src/wire/run_codec.cc
+++ b/src/wire/run_codec.cc
@@ -12,6 +12,7 @@
 static_assert(static_cast<int>(run_end::kLost) == pb::RunEnd_MAX);
 static_assert(static_cast<int>(run_reason::kNone) == pb::RunReason_MIN);
 static_assert(static_cast<int>(run_reason::kEntrySilent) == pb::RunReason_MAX);
+static_assert(run_reason::kEvacuated > run_reason::kEntrySilent);
 
 // About 36,000 years; the sum of several such times still fits into 64 bits.
 constexpr std::uint64_t kMaxMicroseconds = std::uint64_t{1} << 60U;
@@ -36,6 +37,12 @@
   Write(from.capacity, *to.mutable_capacity());
 }
 
+void Write(const domain_evacuation& from, pb::DomainEvacuation& to) {
+  to.set_domain(from.domain);
+  to.set_version(from.version);
+  to.set_evacuated(from.evacuated);
+}
+
 void Write(const agent_beat& from, pb::AgentRunMessage& out) {
   pb::AgentBeat& to = *out.mutable_agent_beat();
   to.set_sequence(from.sequence);
@@ -45,6 +52,9 @@
     Write(worker, *to.add_worker());
   to.set_draining(from.draining);
   to.set_settled(from.settled);
+  to.set_evacuations_hash(from.evacuations_hash);
+  for (const domain_evacuation& evacuation : from.evacuations)
+    Write(evacuation, *to.add_evacuations());
 }
 
 void Write(const run_report& from, pb::AgentRunMessage& out) {
@@ -53,7 +63,11 @@
   to.set_task(from.task);
   to.set_attempt(from.attempt);
   to.set_end(static_cast<pb::RunEnd>(from.end));
-  to.set_reason(static_cast<pb::RunReason>(from.reason));
+  const bool evacuated = from.reason == run_reason::kEvacuated;
+  to.set_reason(evacuated ? pb::RUN_REASON_DRAINING
+                          : static_cast<pb::RunReason>(from.reason));
+  if (evacuated)
+    to.set_evacuated(true);
   to.set_queued_us(ToCount(from.queued));
   to.set_ran_us(ToCount(from.ran));
 }
@@ -68,6 +82,9 @@
     added.set_address(member.address);
   }
   to.set_reconnect(from.reconnect);
+  to.set_evacuations_hash(from.evacuations_hash);
+  for (const domain_evacuation& evacuation : from.evacuations)
+    Write(evacuation, *to.add_evacuations());
 }
 
 void Write(const run_dispatch& from, pb::EntryRunMessage& out) {
@@ -84,6 +101,7 @@
   to.set_start_by_us(ToCount(from.start_by.time_since_epoch()));
   to.set_target_us(from.target.count());
   to.set_queue_bound_us(ToCount(from.queue_bound));
+  to.set_virtual_deadline_us(from.virtual_deadline.count());
 }
 
 void Write(const run_cancel& from, pb::EntryRunMessage& out) {
@@ -119,6 +137,16 @@
   return to;
 }
 
+template <typename Evacuations>
+std::vector<domain_evacuation> ReadEvacuations(const Evacuations& from) {
+  std::vector<domain_evacuation> to;
+  for (const pb::DomainEvacuation& evacuation : from) {
+    to.push_back(
+        {evacuation.domain(), evacuation.version(), evacuation.evacuated()});
+  }
+  return to;
+}
+
 bool Read(const pb::WorkerLoad& from, worker_load& to) {
   to.dispatches_seen = from.dispatches_seen();
   Read(from.free(), to.free);
@@ -135,6 +163,8 @@
     to.worker.push_back(ReadFacts(worker));
   to.draining = from.draining();
   to.settled = from.settled();
+  to.evacuations_hash = from.evacuations_hash();
+  to.evacuations = ReadEvacuations(from.evacuations());
   return to;
 }
 
@@ -144,7 +174,8 @@
   to.task = from.task();
   to.attempt = from.attempt();
   to.end = static_cast<run_end>(from.end());
-  to.reason = static_cast<run_reason>(from.reason());
+  to.reason = from.evacuated() ? run_reason::kEvacuated
+                               : static_cast<run_reason>(from.reason());
   if (!Read(from.queued_us(), to.queued) || !Read(from.ran_us(), to.ran))
     return std::nullopt;
   return to;
@@ -165,6 +196,8 @@
   for (const pb::EntryMember& member : from.members())
     to.members.push_back({member.id(), member.address()});
   to.reconnect = from.reconnect();
+  to.evacuations_hash = from.evacuations_hash();
+  to.evacuations = ReadEvacuations(from.evacuations());
   return to;
 }
 
@@ -179,6 +212,9 @@
   Read(from.need(), to.need);
   to.spec = from.spec();
   to.target = microseconds(from.target_us());
+  to.virtual_deadline =
+      microseconds(from.has_virtual_deadline_us() ? from.virtual_deadline_us()
+                                                  : from.target_us());
   microseconds start_by{0};
   if (!Read(from.predicted_us(), to.predicted) ||
       !Read(from.start_by_us(), start_by) ||
--- a/src/wire/tests/run_codec_test.cc
+++ b/src/wire/tests/run_codec_test.cc
@@ -24,10 +24,15 @@
   beat.worker.push_back({"w", "gas", {"a", "r1"}, {16000, 32768, 1}});
   beat.draining = true;
   beat.settled = true;
+  beat.evacuations_hash = 88;
+  beat.evacuations.push_back({"catania", 5, true});
   frame.messages.emplace_back(beat);
   frame.messages.emplace_back(run_report{5, 2, 3, run_end::kLost,
                                          run_reason::kStalled, microseconds(7),
                                          microseconds(8)});
+  frame.messages.emplace_back(run_report{6, 2, 3, run_end::kRefused,
+                                         run_reason::kEvacuated,
+                                         microseconds(7), microseconds(0)});
   return frame;
 }
 
@@ -37,7 +42,8 @@
   frame.entry = "e1";
   frame.entry_incarnation = incarnation{42};
   frame.entry_time = monotonic_time(microseconds(123456789));
-  frame.messages.emplace_back(beat_reply{9, 77, {{"e1", "10.0.0.1:7"}}, true});
+  frame.messages.emplace_back(beat_reply{
+      9, 77, {{"e1", "10.0.0.1:7"}}, true, 88, {{"catania", 6, false}}});
   run_dispatch dispatch;
   dispatch.job = 5;
   dispatch.task = 2;
@@ -51,6 +57,7 @@
   dispatch.start_by = monotonic_time(microseconds(99));
   dispatch.target = microseconds(-5);
   dispatch.queue_bound = milliseconds(100);
+  dispatch.virtual_deadline = microseconds(-7);
   frame.messages.emplace_back(dispatch);
   frame.messages.emplace_back(run_cancel{5, {1, 2}});
   return frame;
