Drop jobs whose caller left before the request was read

The server now tells the handler whether the peer had closed its connection when the request was read, and the entry drops such a job and counts it in egretrack_abandoned_requests_total.

The regression test did not compile before, as nothing told the handler.

--- a/src/entry/tests/fake_exchange.h
+++ b/src/entry/tests/fake_exchange.h
@@ -24,6 +24,7 @@
     response_.set_value(std::move(response));
   }
   void Abort() override {}
+  bool was_disconnected() const override { return false; }
   void OnDisconnect(std::function<void()> callback) override {
     closed_callback_ = std::move(callback);
   }
--- a/src/include/egretrack/net/http.h
+++ b/src/include/egretrack/net/http.h
@@ -62,6 +62,9 @@
   // The callback must not own a reference to the exchange, as that would be a
   // reference cycle.
   virtual void OnDisconnect(std::function<void()> callback) = 0;
+  // Whether the caller had closed its connection, or the sending side of it,
+  // when the request was handed to the handler.
+  virtual bool was_disconnected() const = 0;
 };
 using http_exchange_ptr = std::shared_ptr<http_exchange>;
 
--- a/src/job_entry/job_entry_control.cc
+++ b/src/job_entry/job_entry_control.cc
@@ -446,6 +446,8 @@
   count("egretrack_bad_requests_total", dependencies_.traffic.bad_requests);
   count("egretrack_dropped_requests_total",
         dependencies_.traffic.dropped_requests);
+  count("egretrack_abandoned_requests_total",
+        dependencies_.traffic.abandoned_requests);
   count("egretrack_store_rows_invalid_total", invalid_rows_);
   count("egretrack_log_lines_left_out_total", log_.suppressed());
   for (const auto& [labels, value] : job_outcome_counts_)
--- a/src/job_entry/job_entry_control.h
+++ b/src/job_entry/job_entry_control.h
@@ -71,6 +71,8 @@
   std::atomic<std::uint64_t> malformed_frames{0};
   std::atomic<std::uint64_t> bad_requests{0};
   std::atomic<std::uint64_t> dropped_requests{0};  // The mailbox was full.
+  // Jobs whose caller had left before the request was read.
+  std::atomic<std::uint64_t> abandoned_requests{0};
 };
 
 // Objects and settings that the control thread uses. The referenced objects
--- a/src/job_entry/job_entry_process.cc
+++ b/src/job_entry/job_entry_process.cc
@@ -239,6 +239,12 @@
       exchange->Respond(platform::EncodeBadRequest(decoded.error()));
       return;
     }
+    // The caller may have submitted the job to another entry since it left.
+    if (exchange->was_disconnected() &&
+        std::holds_alternative<scheduler::job_submission>(*decoded)) {
+      ++traffic_.abandoned_requests;
+      return exchange->Abort();
+    }
     caller_request request{caller, exchange, std::move(*decoded)};
     if (!events_.TryPush(std::move(request))) {
       ++traffic_.dropped_requests;
--- a/src/net/http_session.cc
+++ b/src/net/http_session.cc
@@ -42,10 +42,12 @@
  public:
   session_exchange(std::shared_ptr<http_session> session,
                    std::uint64_t request_number,
-                   http_request request)
+                   http_request request,
+                   bool was_disconnected)
       : session_(std::move(session)),
         request_number_(request_number),
-        request_(std::move(request)) {}
+        request_(std::move(request)),
+        was_disconnected_(was_disconnected) {}
   session_exchange(const session_exchange&) = delete;
   session_exchange& operator=(const session_exchange&) = delete;
 
@@ -80,10 +82,13 @@
     session_->OnDisconnect(request_number_, std::move(callback));
   }
 
+  bool was_disconnected() const override { return was_disconnected_; }
+
  private:
   const std::shared_ptr<http_session> session_;
   const std::uint64_t request_number_;
   const http_request request_;
+  const bool was_disconnected_;
   std::atomic<bool> responded_ = false;
 };
 
@@ -122,6 +127,8 @@
   PostToStrand([](http_session& self) {
     error_code ignored;
     self.socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+    // For HasPeerClosed(); asynchronous operations are not affected.
+    self.socket_.non_blocking(true, ignored);
     self.ReadRequest();
   });
 }
@@ -283,6 +290,18 @@
   Close();
 }
 
+// A process that was suspended reads a request whose caller may have given up
+// long ago and has sent it to another process.
+bool http_session::HasPeerClosed() {
+  if (buffer_.size() > 0)
+    return false;
+  char next = 0;
+  error_code failure;
+  socket_.receive(asio::buffer(&next, 1), socket::message_peek, failure);
+  return failure == asio::error::eof ||
+         failure == asio::error::connection_reset;
+}
+
 void http_session::InvokeHandler() {
   beast_request message = parser_->release();
   keep_alive_ = message.keep_alive();
@@ -293,10 +312,12 @@
   ++request_number_;
   request_open_ = true;
   ++server_->open_requests;
+  const bool peer_closed = HasPeerClosed();
   if (buffer_.size() == 0)
     ReadSome();
   const auto exchange = std::make_shared<session_exchange>(
-      shared_from_this(), request_number_, FromBeast(std::move(message)));
+      shared_from_this(), request_number_, FromBeast(std::move(message)),
+      peer_closed);
   try {
     server_->on_request(exchange);
   } catch (const std::exception&) {
--- a/src/net/http_session.h
+++ b/src/net/http_session.h
@@ -107,6 +107,7 @@
   void ReadBody();
   void OnRequest(const error_code& failure);
   void OnReceiveFailure(const error_code& failure);
+  bool HasPeerClosed();
   void InvokeHandler();
 
   void SendFinal(http_response response);
--- a/src/net/tests/http_test.cc
+++ b/src/net/tests/http_test.cc
@@ -282,6 +282,39 @@
             std::future_status::ready);
 }
 
+// Guards against a process that runs a request which it reads only after its
+// caller has given up, as when the process was suspended in between.
+TEST(HttpServer, TellsWhetherTheCallerHadLeftBeforeTheRequestWasRead) {
+  std::promise<void> resumed;
+  std::promise<bool> left_before;
+  std::promise<bool> stayed;
+  const auto server = *http_server::Listen(
+      {"127.0.0.1", 0}, 1, {}, [&](const http_exchange_ptr& exchange) {
+        const std::string_view path = exchange->request().path();
+        if (path == "/block")
+          resumed.get_future().wait_for(kWaitTimeout);
+        else if (path == "/left")
+          left_before.set_value(exchange->was_disconnected());
+        else
+          stayed.set_value(exchange->was_disconnected());
+        exchange->Respond({200, {}, ""});
+      });
+  raw_client blocking(server->local_address());
+  blocking.Send("GET /block HTTP/1.1\r\n\r\n");
+  raw_client leaving(server->local_address());
+  leaving.Send("GET /left HTTP/1.1\r\n\r\n");
+  leaving.Close();
+  raw_client staying(server->local_address());
+  staying.Send("GET /stayed HTTP/1.1\r\n\r\n");
+  resumed.set_value();
+  auto left = left_before.get_future();
+  ASSERT_EQ(left.wait_for(kWaitTimeout), std::future_status::ready);
+  EXPECT_TRUE(left.get());
+  auto stays = stayed.get_future();
+  ASSERT_EQ(stays.wait_for(kWaitTimeout), std::future_status::ready);
+  EXPECT_FALSE(stays.get());
+}
+
 // Guards against a job id that reaches the caller only with the final response.
 TEST(HttpServer, SendsInformationalResponseFirst) {
   pending_exchanges pending;
