Count a stand-in's run as ended when its lease has, and wait until a process has stopped

A trial with 14 busy processes saw threads of a process run on for up to 73.6 ms after kill(SIGSTOP) had returned (over 0.5 ms in 23 of 300), and never after waitpid() had reported the stop. The agent was thus not frozen yet when the task arrived. child_process now waits for that report.

A run now counts until its lease ends, which the new test of the history checks, and a call first ends what has lapsed.

--- a/src/standins/child_process.h
+++ b/src/standins/child_process.h
@@ -27,7 +27,8 @@
   child_process& operator=(child_process&&) = delete;
   ~child_process();
 
-  // Sends a signal to the process group unless the process has ended.
+  // Sends a signal to the process group unless the process has ended. SIGSTOP
+  // returns when every thread of the process has stopped.
   void Signal(int signal);
   bool IsRunning();
   // Returns the exit code, or 128 plus the number of the signal that ended the
@@ -38,8 +39,11 @@
   explicit child_process(pid_t pid) : pid_(pid) {}
 
   void Reap(int wait_options);
+  void WaitUntilStopped();
+  void SetExitCode(int status);
 
   pid_t pid_;
+  bool stopped_ = false;
   std::optional<int> exit_code_;
 };
 
--- a/src/standins/run_history.h
+++ b/src/standins/run_history.h
@@ -1,8 +1,10 @@
 #ifndef EGRETRACK_STANDINS_RUN_HISTORY_H_
 #define EGRETRACK_STANDINS_RUN_HISTORY_H_
 
+#include <atomic>
 #include <cstddef>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <string>
 #include <string_view>
@@ -16,9 +18,17 @@
 // Thread-safe.
 class run_history {
  public:
+  // End of the lease of all runs of a worker incarnation, which renews it.
+  using lease_end = std::atomic<monotonic_time::rep>;
+
   // `task` is the name under which the worker runs the task; it begins with the
-  // job key. `done` tells that the run completed the task.
-  void RecordStart(std::string_view task, int worker, monotonic_time now);
+  // job key. `done` tells that the run completed the task. A run has ended when
+  // its lease has, even if its worker records the end later: the worker's timer
+  // thread may be delayed on a busy machine.
+  void RecordStart(std::string_view task,
+                   int worker,
+                   monotonic_time now,
+                   std::shared_ptr<const lease_end> lease);
   void RecordEnd(std::string_view task,
                  int worker,
                  bool done,
@@ -35,9 +45,13 @@
   std::vector<std::string> violations() const;
 
  private:
+  struct active_run {
+    int worker = 0;
+    std::shared_ptr<const lease_end> lease;
+  };
   struct task_runs {
-    // Workers that run the task; more than one is a violation.
-    std::vector<int> running;
+    // Runs of the task; more than one under a lease is a violation.
+    std::vector<active_run> running;
     std::size_t start_count = 0;
     bool done = false;
   };
