--- a/src/include/egretrack/scheduler/job_scheduler.h
+++ b/src/include/egretrack/scheduler/job_scheduler.h
@@ -66,6 +66,8 @@
   caller_token caller{};
   std::string host;
   std::string path;
+  // Another entry that does not have the job sent it on.
+  bool forwarded = false;
 };
 
 struct caller_disconnected {
@@ -124,6 +126,15 @@
   std::size_t waiting = 0;  // Jobs without a dispatched task.
 };
 
+// Sends a cancellation to the other entries, one of which may have the job:
+// callers' connections move between entries. The caller waits for their
+// answers.
+struct cancel_at_peers {
+  caller_token caller{};
+  std::string host;
+  std::string path;
+};
+
 struct send_to_agent {
   link_id link{};
   wire::entry_run_frame frame;
@@ -148,6 +159,7 @@
 
 using scheduler_command = std::variant<answer_job,
                                        answer_backlog,
+                                       cancel_at_peers,
                                        send_to_agent,
                                        job_metrics,
                                        decision_record,
--- a/src/job_entry/job_entry_control.cc
+++ b/src/job_entry/job_entry_control.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "egretrack/base/event_table.h"
+#include "egretrack/net/percent.h"
 #include "egretrack/telemetry/process_usage.h"
 #include "egretrack/wire/run_codec.h"
 #include "platform/configuration.h"
@@ -28,6 +29,7 @@
 constexpr std::string_view kConfigurationPath = "/v1/configuration";
 constexpr unsigned kOk = 200;
 constexpr unsigned kNoContent = 204;
+constexpr unsigned kGone = 410;
 
 std::string HostOf(const std::string& address) {
   const auto parsed = net::tcp_address::Parse(address);
@@ -55,6 +57,14 @@
                        std::to_string(reply.response.status));
 }
 
+peer_cancel_answer ParseCancelReply(const net::http_reply& reply) {
+  if (reply.ok && reply.response.status == kOk)
+    return peer_cancel_answer::kCancelled;
+  if (reply.ok && reply.response.status == kGone)
+    return peer_cancel_answer::kUnknownJob;
+  return peer_cancel_answer::kNone;
+}
+
 }  // namespace
 
 job_entry_control::job_entry_control(
@@ -89,7 +99,8 @@
                              &job_entry_control::OnRegistrationResult,
                              &job_entry_control::OnPeerConfiguration,
                              &job_entry_control::OnSeedsChanged,
-                             &job_entry_control::OnInternalRequest>;
+                             &job_entry_control::OnInternalRequest,
+                             &job_entry_control::OnPeerCancelResult>;
   for (control_event& event : batch)
     events::Call(*this, event, now);
   monotonic_time wakeup = core_->Advance(now, commands_);
@@ -330,14 +341,68 @@
     AdoptConfiguration(**event.document, "peer", now);
 }
 
+// ---- Cancellations at other entries ----------------------------------------
+
+void job_entry_control::CancelAtPeers(scheduler::cancel_at_peers& command,
+                                      monotonic_time& now) {
+  const std::vector<std::string> hosts = PeerHosts();
+  LogEvent("cancel_forwarded", false,
+           {{"path", command.path},
+            {"peers", static_cast<std::int64_t>(hosts.size())}},
+           now);
+  if (hosts.empty()) {
+    scheduler::answer_job answer{command.caller,
+                                 scheduler::job_state::kUnknown,
+                                 scheduler::job_errc::kUnknownJob,
+                                 {}};
+    return AnswerJob(answer, now);
+  }
+  peer_cancellations_.Start(command.caller, hosts.size());
+  net::http_request request;
+  request.method = "POST";
+  request.target = std::string(kCancelPath) +
+                   "?host=" + net::PercentEncode(command.host) +
+                   "&path=" + net::PercentEncode(command.path);
+  for (const std::string& host : hosts) {
+    dependencies_.peers.Call(
+        {host, dependencies_.internal_port}, request, kPeerTimeout,
+        [&events = dependencies_.events,
+         caller = command.caller](const net::http_reply& reply) {
+          events.PushRequired(
+              peer_cancel_result{caller, ParseCancelReply(reply)});
+        });
+  }
+}
+
+void job_entry_control::OnPeerCancelResult(peer_cancel_result& event,
+                                           monotonic_time& now) {
+  const auto outcome = peer_cancellations_.Record(event.caller, event.answer);
+  if (!outcome)
+    return;
+  if (!outcome->cancelled && outcome->unanswered > 0) {
+    LogEvent("cancel_unconfirmed", true,
+             {{"unanswered", static_cast<std::int64_t>(outcome->unanswered)}},
+             now);
+  }
+  scheduler::answer_job answer{
+      event.caller,
+      outcome->cancelled ? scheduler::job_state::kCancelled
+                         : scheduler::job_state::kUnknown,
+      outcome->cancelled ? scheduler::job_errc::kCancelled
+                         : scheduler::job_errc::kUnknownJob,
+      {}};
+  AnswerJob(answer, now);
+}
+
 // ---- Commands -------------------------------------------------------------
 
 void job_entry_control::PerformCommands(monotonic_time now) {
   using handlers = event_table<
       scheduler::scheduler_command, &job_entry_control::AnswerJob,
-      &job_entry_control::AnswerBacklog, &job_entry_control::SendToAgent,
-      &job_entry_control::RecordJobMetrics, &job_entry_control::LogDecision,
-      &job_entry_control::CloseFront, &job_entry_control::FinishDrain>;
+      &job_entry_control::AnswerBacklog, &job_entry_control::CancelAtPeers,
+      &job_entry_control::SendToAgent, &job_entry_control::RecordJobMetrics,
+      &job_entry_control::LogDecision, &job_entry_control::CloseFront,
+      &job_entry_control::FinishDrain>;
   for (scheduler::scheduler_command& command : commands_)
     handlers::Call(*this, command, now);
   commands_.clear();
--- a/src/job_entry/job_entry_control.h
+++ b/src/job_entry/job_entry_control.h
@@ -19,6 +19,7 @@
 #include "egretrack/scheduler/job_scheduler.h"
 #include "egretrack/telemetry/event_log.h"
 #include "egretrack/telemetry/metrics.h"
+#include "job_entry/peer_cancellations.h"
 #include "job_entry/table_follower.h"
 #include "platform/store_client.h"
 
@@ -48,6 +49,15 @@
 struct seeds_changed {
   std::vector<std::string> hosts;
 };
+// The answer of another entry to a cancellation that was sent on to it.
+struct peer_cancel_result {
+  scheduler::caller_token caller{};
+  peer_cancel_answer answer = peer_cancel_answer::kNone;
+};
+
+// Path on the internal port at which entries send cancellations on, with the
+// host and the path of the caller's request as query parameters.
+inline constexpr std::string_view kCancelPath = "/v1/jobs/cancel";
 
 // Requests of other processes and operators to the internal port.
 enum class internal_query : std::uint8_t { kMetrics, kConfiguration };
@@ -63,7 +73,8 @@
                                    registration_result,
                                    peer_configuration,
                                    seeds_changed,
-                                   internal_request>;
+                                   internal_request,
+                                   peer_cancel_result>;
 using control_mailbox = mailbox<control_event>;
 
 // Counted by traffic threads.
@@ -114,6 +125,7 @@
   void OnPeerConfiguration(peer_configuration& event, monotonic_time& now);
   void OnSeedsChanged(seeds_changed& event, monotonic_time& now);
   void OnInternalRequest(internal_request& event, monotonic_time& now);
+  void OnPeerCancelResult(peer_cancel_result& event, monotonic_time& now);
 
   // ---- Store and peers ----
   void AdoptConfiguration(std::string_view document,
@@ -133,6 +145,7 @@
   // ---- Commands ----
   void AnswerJob(scheduler::answer_job& command, monotonic_time& now);
   void AnswerBacklog(scheduler::answer_backlog& command, monotonic_time& now);
+  void CancelAtPeers(scheduler::cancel_at_peers& command, monotonic_time& now);
   void SendToAgent(scheduler::send_to_agent& command, monotonic_time& now);
   void RecordJobMetrics(scheduler::job_metrics& command, monotonic_time& now);
   void LogDecision(scheduler::decision_record& command, monotonic_time& now);
@@ -166,6 +179,7 @@
   bool peer_request_in_flight_ = false;
   monotonic_time next_peer_request_{};
   std::size_t peer_index_ = 0;
+  peer_cancellations peer_cancellations_;
   bool front_open_ = false;
   bool store_unreachable_ = false;
   monotonic_time store_unreachable_since_{};
--- a/src/job_entry/job_entry_process.cc
+++ b/src/job_entry/job_entry_process.cc
@@ -259,6 +259,8 @@
 
   void OnInternalRequest(net::http_exchange_ptr exchange) {
     const std::string_view path = exchange->request().path();
+    if (path == kCancelPath)
+      return OnForwardedCancellation(std::move(exchange));
     internal_request request;
     if (path == "/metrics")
       request.query = internal_query::kMetrics;
@@ -272,6 +274,16 @@
     static_cast<void>(events_.TryPush(std::move(request)));
   }
 
+  void OnForwardedCancellation(net::http_exchange_ptr exchange) {
+    const net::http_request& request = exchange->request();
+    const scheduler::caller_token caller{++last_caller_};
+    scheduler::job_cancellation cancellation{caller, request.Query("host"),
+                                             request.Query("path"), true};
+    // If the mailbox is full, dropping the exchange sends a response.
+    static_cast<void>(events_.TryPush(
+        caller_request{caller, std::move(exchange), std::move(cancellation)}));
+  }
+
   // A malformed frame is dropped; the agent's next heartbeat and the deadlines
   // of jobs make up for a lost frame.
   void OnFrame(net::peer_id peer, std::span<const std::byte> bytes) {
--- a/src/scheduler/job_scheduler_jobs.cc
+++ b/src/scheduler/job_scheduler_jobs.cc
@@ -245,10 +245,11 @@
 
 void job_scheduler_impl::OnCancellation(job_cancellation& event) {
   scheduled_job* job = FindJob(event.host, event.path);
+  if (job == nullptr && !event.forwarded && members_.size() > 1)
+    return Emit(cancel_at_peers{event.caller, event.host, event.path});
   if (job == nullptr) {
-    Emit(answer_job{
+    return Emit(answer_job{
         event.caller, job_state::kUnknown, job_errc::kUnknownJob, {}});
-    return;
   }
   Emit(answer_job{
       event.caller, job_state::kCancelled, job_errc::kCancelled, {}});
--- a/src/scheduler/tests/job_scheduler_test.cc
+++ b/src/scheduler/tests/job_scheduler_test.cc
@@ -446,5 +446,24 @@
   EXPECT_EQ(driver_.AnswerFor(1)->state, job_state::kOutcomeUnknown);
 }
 
+// Guards against answering that a job is unknown although another entry has it,
+// which goes on running it: the connection of a cancellation may reach another
+// entry than that of the submission.
+TEST(JobSchedulerCancellation, SendsTheCancellationOfAnUnknownJobToTheOtherEntries) {
+  scheduler_driver driver;
+  driver.Configure();
+  driver.Handle(members_received{{{"e1", "10.0.0.1:7"}, {"e2", "10.0.0.2:7"}}});
+  driver.Handle(job_cancellation{caller_token{5}, "h", "/find/j", false});
+  const auto* sent = std::get_if<cancel_at_peers>(&driver.commands.back());
+  ASSERT_NE(sent, nullptr);
+  EXPECT_EQ(sent->caller, caller_token{5});
+  EXPECT_EQ(sent->path, "/find/j");
+  // It is not sent on a second time.
+  driver.Handle(job_cancellation{caller_token{6}, "h", "/find/j", true});
+  const auto* answer = std::get_if<answer_job>(&driver.commands.back());
+  ASSERT_NE(answer, nullptr);
+  EXPECT_EQ(answer->state, job_state::kUnknown);
+}
+
 }  // namespace
 }  // namespace egretrack::scheduler
