Start nothing in a failure domain that the operator evacuates

An operator's row evacuate/DOMAIN of the table op reaches the entries, which place no task there and tell their agents at once. An agent of the domain refuses dispatches, returns queued tasks and sends no start call, whatever entries dispatch; what runs continues. Agents and entries exchange the list in heartbeats and replies, so that either learns from any other process while it has lost the store.

Of two values the higher version of the store holds. A domain that a full read of the table lacks was not evacuated at the version of the read, which also answers older values that another process still has.

--- a/src/include/egretrack/scheduler/decision_record.h
+++ b/src/include/egretrack/scheduler/decision_record.h
@@ -51,6 +51,10 @@
   kEntrySilent,
   kEntryRestarted,
   kFenceRaised,
+  // At both.
+  kEvacuationChanged,
+  kEvacuationOfUnknownDomain,  // At an entry: no agent has the domain.
+  kEvacuationsLeftOut,         // More domains than kMaxEvacuationDomains.
   kCount,
 };
 
--- a/src/include/egretrack/scheduler/job_scheduler.h
+++ b/src/include/egretrack/scheduler/job_scheduler.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <variant>
 #include <vector>
@@ -88,6 +89,15 @@
 
 struct drain_requested {};
 
+// What the store says of evacuated failure domains: changed rows, or with
+// `snapshot_version` all rows of the table at that version of the store.
+struct evacuations_received {
+  std::vector<wire::domain_evacuation> values;
+  std::optional<std::uint64_t> snapshot_version;
+  // Domains whose row cannot be decoded. What is known of them stays.
+  std::vector<std::string> unreadable;
+};
+
 using scheduler_event = std::variant<job_submission,
                                      job_inquiry,
                                      job_cancellation,
@@ -95,7 +105,8 @@
                                      agent_frame,
                                      configuration_received,
                                      members_received,
-                                     drain_requested>;
+                                     drain_requested,
+                                     evacuations_received>;
 
 // ---- Commands -------------------------------------------------------------
 
@@ -196,6 +207,8 @@
   std::uint64_t tasks_failed = 0;    // Runs that failed at the worker.
   std::uint64_t late_reports = 0;
   std::uint64_t ejections = 0;
+  // Of tasks_returned: because the agent's failure domain is evacuated.
+  std::uint64_t tasks_evacuated = 0;
 };
 
 struct scheduler_gauges {
@@ -206,6 +219,7 @@
   std::size_t agents_usable = 0;
   std::uint64_t config_version = 0;
   std::int64_t free_cpu_milli = 0;
+  std::size_t evacuated_domains = 0;
 };
 
 // Does no I/O and has no clock or thread of its own; owned by the control
@@ -226,6 +240,8 @@
 
   virtual const scheduler_counters& counters() const = 0;
   virtual scheduler_gauges gauges() const = 0;
+  // Known evacuations and ended evacuations, ordered by domain.
+  virtual std::span<const wire::domain_evacuation> evacuations() const = 0;
   // True while the entry can serve new callers.
   virtual bool ready() const = 0;
 };
--- a/src/include/egretrack/scheduler/run_supervisor.h
+++ b/src/include/egretrack/scheduler/run_supervisor.h
@@ -234,6 +234,8 @@
   std::uint64_t stalls = 0;
   std::uint64_t reconnects = 0;
   std::uint64_t stale_frames = 0;
+  // Of refusals: because the failure domain is evacuated.
+  std::uint64_t evacuation_refusals = 0;
 };
 
 struct supervisor_gauges {
@@ -242,6 +244,7 @@
   std::size_t entries = 0;
   resources free;
   bool has_worker = false;
+  std::size_t evacuated_domains = 0;
 };
 
 // Performs no I/O, reads no clock and starts no thread. Owned by the control
--- a/src/job_entry/job_entry_control.cc
+++ b/src/job_entry/job_entry_control.cc
@@ -9,6 +9,7 @@
 #include "egretrack/wire/run_codec.h"
 #include "platform/configuration.h"
 #include "platform/entry_rows.h"
+#include "platform/evacuation_rows.h"
 #include "platform/job_api.h"
 
 namespace egretrack::job_entry {
@@ -132,6 +133,32 @@
     if (row.key == platform::kConfigurationKey && !row.removed)
       AdoptConfiguration(row.value, "store", now);
   }
+  PassEvacuations(*change, now);
+}
+
+void job_entry_control::PassEvacuations(const table_change& change,
+                                        monotonic_time now) {
+  scheduler::evacuations_received update;
+  if (change.full_snapshot)
+    update.snapshot_version = change.version;
+  for (const platform::invalid_row& row : change.invalid_rows) {
+    if (platform::IsEvacuationKey(row.key))
+      update.unreadable.push_back(platform::EvacuationDomain(row.key));
+  }
+  for (const platform::store_row& row : change.rows) {
+    if (!platform::IsEvacuationKey(row.key))
+      continue;
+    auto evacuation = platform::DecodeEvacuationRow(row);
+    if (evacuation) {
+      update.values.push_back(std::move(*evacuation));
+      continue;
+    }
+    update.unreadable.push_back(platform::EvacuationDomain(row.key));
+    const platform::invalid_row invalid{row.key, evacuation.error().ToString()};
+    LogInvalidRows(platform::kOperatorTable, {&invalid, 1}, now);
+  }
+  if (change.full_snapshot || !update.values.empty())
+    core_->Handle(std::move(update), now, commands_);
 }
 
 void job_entry_control::OnMembersRead(members_read& event,
--- a/src/job_entry/job_entry_control.h
+++ b/src/job_entry/job_entry_control.h
@@ -124,6 +124,8 @@
   void TrackStoreAvailability(monotonic_time now);
   std::vector<std::string> PeerHosts() const;
 
+  // Passes the rows of the operator's table that evacuate domains.
+  void PassEvacuations(const table_change& change, monotonic_time now);
   void ApplyMemberRow(const platform::store_row& row, monotonic_time now);
   void LogInvalidRows(std::string_view table,
                       std::span<const platform::invalid_row> rows,
--- a/src/job_entry/table_follower.cc
+++ b/src/job_entry/table_follower.cc
@@ -56,7 +56,7 @@
   if (watching_) {
     version_ = std::max(version_, page.version);
     return table_change{std::move(page.rows), std::move(page.invalid_rows),
-                        false};
+                        false, 0};
   }
   // After a full read of several pages the watch starts at the version of the
   // first page, so that no change between two pages is missed.
@@ -74,6 +74,7 @@
   watching_ = true;
   next_key_.clear();
   snapshot_.full_snapshot = true;
+  snapshot_.version = version_;
   return std::exchange(snapshot_, {});
 }
 
--- a/src/job_entry/table_follower.h
+++ b/src/job_entry/table_follower.h
@@ -18,6 +18,9 @@
   std::vector<platform::store_row> rows;
   std::vector<platform::invalid_row> invalid_rows;
   bool full_snapshot = false;
+  // Of a full snapshot: the store's version when its first page was read. Rows
+  // of later pages may be newer.
+  std::uint64_t version = 0;
 };
 
 // Result of a read or watch of the store.
--- a/src/job_entry/tests/table_follower_test.cc
+++ b/src/job_entry/tests/table_follower_test.cc
@@ -64,6 +64,8 @@
   EXPECT_TRUE(change->full_snapshot);
   EXPECT_EQ(change->rows.size(), 1U);
   EXPECT_EQ(change->invalid_rows.size(), 2U);
+  // A row that the first page lacks may have been written since.
+  EXPECT_EQ(change->version, 40U);
   const std::vector<std::string> expected{
       "read from ''", "read from 'b" + std::string(1, '\0') + "'",
       "watch after 40"};
--- a/src/scheduler/decision_record.cc
+++ b/src/scheduler/decision_record.cc
@@ -49,7 +49,10 @@
                 {"entry_found", false},
                 {"entry_silent", true},
                 {"entry_restarted", true},
-                {"fence_raised", false}}};
+                {"fence_raised", false},
+                {"evacuation_changed", true},
+                {"evacuation_of_unknown_domain", true},
+                {"evacuations_left_out", true}}};
 
 }  // namespace
 
--- a/src/scheduler/entry_link.cc
+++ b/src/scheduler/entry_link.cc
@@ -23,6 +23,7 @@
   last_exchange_.reset();
   latest_entry_time_ = {};
   dispatches_seen = 0;
+  evacuations_hash.reset();
   outgoing.clear();
   heartbeat_requested = true;
 }
--- a/src/scheduler/entry_link.h
+++ b/src/scheduler/entry_link.h
@@ -84,6 +84,9 @@
   std::uint64_t dispatches_seen = 0;
   monotonic_time last_dispatch = monotonic_time::min();
   std::vector<wire::agent_run_message> outgoing;
+  // Of the evacuations known to the entry, by its last message on this
+  // connection.
+  std::optional<std::uint64_t> evacuations_hash;
   monotonic_time last_sent{};    // Time of the last frame of any kind.
   resources last_reported_free;  // Free resources in the last frame.
 
--- a/src/scheduler/job_scheduler.cc
+++ b/src/scheduler/job_scheduler.cc
@@ -53,7 +53,7 @@
       &job_scheduler_impl::OnInquiry, &job_scheduler_impl::OnCancellation,
       &job_scheduler_impl::OnCallerDisconnected, &job_scheduler_impl::OnFrame,
       &job_scheduler_impl::OnConfiguration, &job_scheduler_impl::OnMembers,
-      &job_scheduler_impl::OnDrain>;
+      &job_scheduler_impl::OnDrain, &job_scheduler_impl::OnEvacuations>;
   events::Call(*this, event);
 }
 
@@ -177,6 +177,7 @@
     ++gauges.agents_usable;
     gauges.free_cpu_milli += view->FreeResources().cpu_milli;
   }
+  gauges.evacuated_domains = evacuations_.CountEvacuated();
   gauges.config_version = configuration_ ? configuration_->version : 0;
   return gauges;
 }
--- a/src/scheduler/job_scheduler_agents.cc
+++ b/src/scheduler/job_scheduler_agents.cc
@@ -104,6 +104,9 @@
   reply.members_hash = members_hash_;
   if (heartbeat.members_hash != members_hash_)
     reply.members = members_;
+  reply.evacuations_hash = evacuations_.hash();
+  if (heartbeat.evacuations_hash != evacuations_.hash())
+    reply.evacuations = evacuations_.values();
   return reply;
 }
 
@@ -135,8 +138,10 @@
 
 void job_scheduler_impl::OnHeartbeat(wire::agent_beat& message,
                                      worker_view& view) {
+  OnAgentEvacuations(message, view);
   view.outgoing.emplace_back(MakeReply(message));
   view.failure_domain = std::move(message.failure_domain);
+  UpdateEvacuated(view);
   view.draining = message.draining;
   std::optional<wire::worker_facts> worker;
   if (!message.worker.empty())
@@ -350,6 +355,8 @@
                   {"queued_us", report.queued.count()}});
   EndDispatch(job, task);
   returned.avoided_agent = &view;
+  if (report.reason == wire::run_reason::kEvacuated)
+    ++counters_.tasks_evacuated;
   if (report.reason == wire::run_reason::kWorkerRefused)
     view.refusals.RecordRefusal(now_);
   if (report.reason == wire::run_reason::kUnanswered)
--- a/src/scheduler/job_scheduler_dispatch.cc
+++ b/src/scheduler/job_scheduler_dispatch.cc
@@ -43,7 +43,8 @@
                                     std::uint32_t task) const {
   const scheduled_task& state = job.tasks[task];
   const job_step& step = job.steps[state.step].spec;
-  if (!IsUsable(view) || view.worker->desk != job.kind->desk ||
+  if (!IsUsable(view) || view.evacuated ||
+      view.worker->desk != job.kind->desk ||
       !view.worker->capacity.Fits(step.need)) {
     return false;
   }
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -13,6 +14,7 @@
 
 #include "decision/entry_drain_lifecycle.h"
 #include "decision/timer_queue.h"
+#include "egretrack/scheduler/evacuation_map.h"
 #include "egretrack/scheduler/job_scheduler.h"
 #include "scheduler/placement.h"
 #include "scheduler/route_table.h"
@@ -36,6 +38,9 @@
                          std::vector<scheduler_command>& commands) override;
   const scheduler_counters& counters() const override { return counters_; }
   scheduler_gauges gauges() const override;
+  std::span<const wire::domain_evacuation> evacuations() const override {
+    return evacuations_.values();
+  }
   bool ready() const override;
 
  private:
@@ -125,6 +130,13 @@
   void AttributeFailure(worker_view& view, scheduled_task& task);
   void EndDispatch(scheduled_job& job, std::uint32_t task);
 
+  // ---- job_scheduler_evacuations.cc: evacuated failure domains -------------
+  void OnEvacuations(evacuations_received& event);
+  void OnAgentEvacuations(const wire::agent_beat& message, worker_view& view);
+  // Applies changes of the map to the views and tells the agents.
+  void AdoptEvacuations(std::string_view source);
+  void UpdateEvacuated(worker_view& view);
+
   // ---- job_scheduler_dispatch.cc: from waiting tasks to agents -------------
   bool IsUsable(const worker_view& view) const;
   bool IsEligible(const worker_view& view,
@@ -149,6 +161,7 @@
   std::vector<wire::entry_member> members_;
   std::uint64_t members_hash_ = 0;
   run_time_model run_times_;
+  evacuation_map evacuations_;
 
   // Views are never removed, so that tasks can point to them; there is one for
   // each agent that ever connected.
--- a/src/scheduler/members.cc
+++ b/src/scheduler/members.cc
@@ -4,23 +4,9 @@
 #include <string_view>
 #include <tuple>
 
-namespace egretrack::scheduler {
-namespace {
-
-// FNV-1a is the same in every process and release, unlike std::hash.
-constexpr std::uint64_t kFnvOffsetBasis = 0xcbf29ce484222325;
-constexpr std::uint64_t kFnvPrime = 0x100000001b3;
+#include "scheduler/stable_hash.h"
 
-std::uint64_t HashField(std::uint64_t hash, std::string_view text) {
-  for (const char c : text) {
-    hash ^= static_cast<unsigned char>(c);
-    hash *= kFnvPrime;
-  }
-  // The separator makes ("ab", "c") and ("a", "bc") differ.
-  return (hash ^ 0xffU) * kFnvPrime;
-}
-
-}  // namespace
+namespace egretrack::scheduler {
 
 void Normalize(std::vector<wire::entry_member>& members) {
   std::ranges::sort(members, {}, [](const wire::entry_member& member) {
@@ -30,7 +16,7 @@
 }
 
 std::uint64_t HashMembers(std::span<const wire::entry_member> members) {
-  std::uint64_t hash = kFnvOffsetBasis;
+  std::uint64_t hash = kStableHashStart;
   for (const wire::entry_member& member : members)
     hash = HashField(HashField(hash, member.id), member.address);
   return hash;
@@ -39,7 +25,7 @@
 // The finalizer of MurmurHash3 spreads names that differ only in their last
 // characters, which FNV-1a alone does not.
 std::uint64_t RendezvousWeight(std::string_view entry, std::string_view agent) {
-  std::uint64_t weight = HashField(HashField(kFnvOffsetBasis, entry), agent);
+  std::uint64_t weight = HashField(HashField(kStableHashStart, entry), agent);
   weight ^= weight >> 33U;
   weight *= 0xff51afd7ed558ccdU;
   weight ^= weight >> 33U;
--- a/src/scheduler/run_supervisor.cc
+++ b/src/scheduler/run_supervisor.cc
@@ -89,6 +89,7 @@
   if (std::exchange(links_changed_, false))
     UpdateLinks();
   CheckWorker();
+  ReturnEvacuatedRuns();
   ExpireQueuedRuns();
   SendStops();
   StartRuns();
@@ -145,6 +146,8 @@
 
 std::optional<wire::run_reason> run_supervisor_impl::DispatchRefusalReason()
     const {
+  if (evacuated_)
+    return wire::run_reason::kEvacuated;
   if (draining_ || (worker_ && worker_->draining))
     return wire::run_reason::kDraining;
   if (!HasUsableWorker())
@@ -285,6 +288,7 @@
       }));
   gauges.has_worker = worker_ && worker_->described;
   gauges.free = FreeResources();
+  gauges.evacuated_domains = evacuations_.CountEvacuated();
   return gauges;
 }
 
--- a/src/scheduler/run_supervisor_impl.h
+++ b/src/scheduler/run_supervisor_impl.h
@@ -10,6 +10,7 @@
 #include <string_view>
 #include <vector>
 
+#include "egretrack/scheduler/evacuation_map.h"
 #include "egretrack/scheduler/run_supervisor.h"
 #include "scheduler/entry_link.h"
 #include "scheduler/run_end_proof.h"
@@ -163,6 +164,15 @@
   void CheckWorker();
   worker_call_target CallTarget() const;
 
+  // ---- run_supervisor_evacuation.cc: the evacuated failure domain ----------
+  // Applies what an entry knows of evacuations.
+  void AdoptEvacuations(const wire::beat_reply& message, entry_index entry);
+  void DescribeEvacuations(entry_index entry, wire::agent_beat& heartbeat);
+  // Returns the queued tasks while the failure domain is evacuated.
+  void ReturnEvacuatedRuns();
+  // Makes a heartbeat to the entry due if it lacks what this agent knows.
+  void RequestEvacuationHeartbeat(entry_index entry);
+
   // ---- run_supervisor_polls.cc: polls of the worker's runs -----------------
   void PollWorker();
   void SchedulePoll();
@@ -180,6 +190,8 @@
   std::deque<entry_link> links_;    // By entry_index; one for each known entry.
   bool links_changed_ = false;      // UpdateLinks() must run.
   std::uint64_t members_hash_ = 0;  // Of the last list of entries.
+  evacuation_map evacuations_;
+  bool evacuated_ = false;  // The agent's failure domain is.
   run_table runs_;
   std::optional<worker_state> worker_;
   std::optional<reported_successor> successor_;
--- a/src/scheduler/run_supervisor_links.cc
+++ b/src/scheduler/run_supervisor_links.cc
@@ -60,6 +60,7 @@
 
 void run_supervisor_impl::OnHeartbeatReply(wire::beat_reply& message,
                                            const entry_index& entry) {
+  AdoptEvacuations(message, entry);
   if (!message.members.empty() && message.members_hash != members_hash_) {
     Normalize(message.members);
     members_hash_ = HashMembers(message.members);
@@ -98,6 +99,9 @@
   const std::uint64_t key = runs_.Add(std::move(run));
   if (const auto reason = DispatchRefusalReason()) {
     RefuseRun(key, *reason);
+    // The entry may have restarted or lost the message that told it.
+    if (*reason == wire::run_reason::kEvacuated)
+      RequestEvacuationHeartbeat(entry);
   } else if (!worker_->report.capacity.Fits(message.need)) {
     RefuseRun(key, wire::run_reason::kNoRoom);
   }
@@ -170,6 +174,7 @@
   heartbeat.draining = draining_ || (worker_ && worker_->draining) ||
                        link.state == link_state::kLeaving;
   heartbeat.settled = IsSettled(entry);
+  DescribeEvacuations(entry, heartbeat);
   link.reported_settled = heartbeat.settled;
   link.outgoing.emplace_back(std::move(heartbeat));
   link.heartbeat_requested = false;
--- a/src/scheduler/run_supervisor_worker.cc
+++ b/src/scheduler/run_supervisor_worker.cc
@@ -29,8 +29,9 @@
 // ---- Starts ---------------------------------------------------------------
 
 void run_supervisor_impl::StartRuns() {
-  if (!HasUsableWorker() || worker_->draining || !worker_->reconciled ||
-      !lease_.HasRecentClock(now_) || !MayExtendLease()) {
+  if (evacuated_ || !HasUsableWorker() || worker_->draining ||
+      !worker_->reconciled || !lease_.HasRecentClock(now_) ||
+      !MayExtendLease()) {
     return;
   }
   // The worker may have started again under its id, in which case it would
@@ -110,7 +111,7 @@
                   {"resends", std::int64_t{run.resends}},
                   {"error", std::string(failure)},
                   {"age_us", (now_ - run.started).count()}});
-  if (++run.resends <= kMaxResends && MayExtendLease())
+  if (!evacuated_ && ++run.resends <= kMaxResends && MayExtendLease())
     return SendStart(run);
   StopRun(run, wire::run_reason::kUnanswered);
 }
@@ -150,6 +151,7 @@
                                     run_end_proof proof) {
   agent_run& run = *runs_.Find(key);
   ++counters_.refusals;
+  counters_.evacuation_refusals += reason == wire::run_reason::kEvacuated;
   run.started = {};
   ReportRunEnd(run, wire::run_end::kRefused, reason);
   RecordDecision(decision_kind::kRunRefused, run.id.job_key,
--- a/src/scheduler/worker_view.h
+++ b/src/scheduler/worker_view.h
@@ -65,6 +65,8 @@
   worker_health health;
   refusal_rate refusals;
   std::uint32_t outstanding = 0;
+  bool evacuated = false;              // The failure domain is evacuated.
+  std::uint64_t evacuations_hash = 0;  // Of those known to the agent.
   std::vector<wire::entry_run_message> outgoing;
 
   // Starts a session without dispatches.
