Refuse jobs that need an evacuated worker, and list evacuations

A job with a step that only workers of evacuated domains can run is refused at once as no_endpoint, as is one whose tasks were all returned.

GET /v1/evacuations on the internal port and egretrackctl evacuations show what an entry knows. Entries and agents count returned and refused tasks.

--- a/src/egretrackctl/commands/process_commands.cc
+++ b/src/egretrackctl/commands/process_commands.cc
@@ -36,6 +36,12 @@
     {"EJECTED", "ejected"},
 }};
 
+constexpr std::array<json_column, 3> kEvacuationColumns{{
+    {"FAILURE DOMAIN", "domain"},
+    {"VERSION", "version"},
+    {"STATE", "state"},
+}};
+
 constexpr const char* kUnreachable = "unreachable";
 
 class status_command final : public command {
@@ -146,9 +152,36 @@
   std::string agent_;
 };
 
-constexpr std::array<command_definition, 2> kCommands{{
+// Lists the failure domains of which the entry knows that they are or were
+// evacuated.
+class evacuations_command final : public command {
+ public:
+  void AddOptions(CLI::App& /*app*/) override {}
+
+  exit_code Run(const session& session) override {
+    const entry_reply reply =
+        session.SendToAny(MakeRequest("GET", "/v1/evacuations"));
+    if (!reply.response)
+      return session.ReportNoResponse(reply, true);
+    const exit_code code = ExitCodeForReply(reply);
+    const auto body = ParseJson(reply.response->body);
+    if (code != exit_code::kOk || !body)
+      return session.ReportError(reply);
+    if (session.options().json) {
+      session.out() << reply.response->body << '\n';
+    } else {
+      MakeTable(kEvacuationColumns, ArrayAt(*body, "evacuations"))
+          .Print(session.out());
+    }
+    return code;
+  }
+};
+
+constexpr std::array<command_definition, 3> kCommands{{
     {"status", "Show entries and their agents", &Create<status_command>},
     {"drain", "Drain an entry or an agent", &Create<drain_command>},
+    {"evacuations", "List evacuated failure domains",
+     &Create<evacuations_command>},
 }};
 
 }  // namespace
--- a/src/egretrackctl/commands/tests/command_line_test.cc
+++ b/src/egretrackctl/commands/tests/command_line_test.cc
@@ -305,6 +305,22 @@
   EXPECT_EQ(transport_.calls[1].line, "POST /v1/agents/a1/drain");
 }
 
+// Guards against an operator who cannot see whether an entry knows of an
+// evacuation, and against an entry of an earlier release that looks as if it
+// knew of none.
+TEST_F(CommandLine, ListsEvacuations) {
+  transport_.replies = {Response(200, R"({"evacuations":[
+          {"domain":"enna","version":7,"state":"evacuated"},
+          {"domain":"noto","version":9,"state":"in_service"}]})"),
+                        Response(404, "")};
+  EXPECT_EQ(Run({"evacuations", "--entry", "127.0.0.1:1"}), exit_code::kOk);
+  EXPECT_EQ(transport_.calls[0].line, "GET /v1/evacuations");
+  for (const char* text : {"enna", "evacuated", "noto", "9", "in_service"})
+    EXPECT_NE(out_.str().find(text), std::string::npos) << text;
+  EXPECT_NE(Run({"evacuations"}), exit_code::kOk);
+  EXPECT_EQ(Run({"evacuations"}), exit_code::kUnreachable);
+}
+
 // Guards against a report in a format that the client cannot parse.
 TEST_F(CommandLine, PrintsBurnReportAndWritesChart) {
   transport_.replies = {Response(200, R"({"desks":[{"desk":"d","objective":0.9,
--- a/src/job_agent/job_agent_control.cc
+++ b/src/job_agent/job_agent_control.cc
@@ -153,6 +153,8 @@
   count("egretrack_run_starts_total", counters.starts);
   count("egretrack_run_ends_total", counters.ends);
   count("egretrack_run_refusals_total", counters.refusals);
+  count("egretrack_run_evacuation_refusals_total",
+        counters.evacuation_refusals);
   count("egretrack_run_stops_total", counters.stops);
   count("egretrack_run_losses_total", counters.losses);
   count("egretrack_run_unanswered_total", counters.unanswered);
@@ -172,6 +174,8 @@
   gauge("egretrack_entries", static_cast<double>(gauges.entries));
   gauge("egretrack_free_cpu_millicores",
         static_cast<double>(gauges.free.cpu_milli));
+  gauge("egretrack_evacuated_domains",
+        static_cast<double>(gauges.evacuated_domains));
   gauge("egretrack_has_worker", gauges.has_worker ? 1 : 0);
   telemetry::SetProcessUsage(*metrics_);
   event.exchange->Respond({kOk,
--- a/src/job_entry/job_entry_control.cc
+++ b/src/job_entry/job_entry_control.cc
@@ -7,6 +7,7 @@
 #include "egretrack/base/event_table.h"
 #include "egretrack/telemetry/process_usage.h"
 #include "egretrack/wire/run_codec.h"
+#include "job_entry/evacuation_listing.h"
 #include "platform/configuration.h"
 #include "platform/entry_rows.h"
 #include "platform/evacuation_rows.h"
@@ -220,6 +221,8 @@
       return event.exchange->Respond(Metrics());
     case internal_query::kConfiguration:
       return event.exchange->Respond(Configuration(event.exchange->request()));
+    case internal_query::kEvacuations:
+      return event.exchange->Respond(EncodeEvacuations(core_->evacuations()));
   }
 }
 
@@ -464,6 +467,7 @@
   count("egretrack_jobs_cancelled_total", counters.jobs_cancelled);
   count("egretrack_dispatches_total", counters.dispatches);
   count("egretrack_tasks_returned_total", counters.tasks_returned);
+  count("egretrack_tasks_evacuated_total", counters.tasks_evacuated);
   count("egretrack_tasks_lost_total", counters.tasks_lost);
   count("egretrack_tasks_failed_total", counters.tasks_failed);
   count("egretrack_late_reports_total", counters.late_reports);
@@ -491,6 +495,8 @@
   gauge("egretrack_agents_usable", static_cast<double>(gauges.agents_usable));
   gauge("egretrack_free_cpu_millicores",
         static_cast<double>(gauges.free_cpu_milli));
+  gauge("egretrack_evacuated_domains",
+        static_cast<double>(gauges.evacuated_domains));
   gauge("egretrack_config_version", static_cast<double>(gauges.config_version));
   gauge("egretrack_store_lost", store_unreachable_ ? 1 : 0);
   telemetry::SetProcessUsage(*metrics_);
--- a/src/job_entry/job_entry_control.h
+++ b/src/job_entry/job_entry_control.h
@@ -50,7 +50,11 @@
 };
 
 // Requests of other processes and operators to the internal port.
-enum class internal_query : std::uint8_t { kMetrics, kConfiguration };
+enum class internal_query : std::uint8_t {
+  kMetrics,
+  kConfiguration,
+  kEvacuations,
+};
 struct internal_request {
   internal_query query = internal_query::kMetrics;
   net::http_exchange_ptr exchange;
--- a/src/job_entry/job_entry_process.cc
+++ b/src/job_entry/job_entry_process.cc
@@ -264,6 +264,8 @@
       request.query = internal_query::kMetrics;
     else if (path == "/v1/configuration")
       request.query = internal_query::kConfiguration;
+    else if (path == "/v1/evacuations")
+      request.query = internal_query::kEvacuations;
     else
       return exchange->Respond({kNotFound, {}, ""});
     request.exchange = std::move(exchange);
--- a/src/scheduler/job_scheduler.cc
+++ b/src/scheduler/job_scheduler.cc
@@ -77,6 +77,7 @@
     RefuseUndispatchedJobs();
     next_dispatch_retry_ = now_ + kDispatchRetryInterval;
   }
+  RecordUnknownDomains();
   CheckDrain();
   SendFrames();
   return NextWakeup();
--- a/src/scheduler/job_scheduler_dispatch.cc
+++ b/src/scheduler/job_scheduler_dispatch.cc
@@ -18,6 +18,9 @@
 // Share of the predicted run time that must remain until the deadline when a
 // task starts.
 constexpr double kStartByShare = 0.5;
+// A job without a dispatched task is refused after this share of the time until
+// its target, so that the caller can try another entry.
+constexpr double kUndispatchedTimeShare = 0.2;
 
 microseconds QueueBound(const placement_candidate& chosen,
                         microseconds time_to_target) {
@@ -38,20 +41,25 @@
   return view.worker && !view.draining && !view.silent;
 }
 
+bool job_scheduler_impl::CanRun(const worker_view& view,
+                                const scheduled_job& job,
+                                const job_step& step) const {
+  return IsUsable(view) && view.worker->desk == job.kind->desk &&
+         view.worker->capacity.Fits(step.need) &&
+         (step.required_label.empty() || view.HasLabel(step.required_label));
+}
+
 bool job_scheduler_impl::IsEligible(const worker_view& view,
                                     const scheduled_job& job,
                                     std::uint32_t task) const {
   const scheduled_task& state = job.tasks[task];
   const job_step& step = job.steps[state.step].spec;
-  if (!IsUsable(view) || view.evacuated ||
-      view.worker->desk != job.kind->desk ||
-      !view.worker->capacity.Fits(step.need)) {
+  if (view.evacuated || !CanRun(view, job, step) ||
+      IsShareUsedUp(view, step.need)) {
     return false;
   }
   if (view.health.ejected() && !view.health.IsTrialDue(now_))
     return false;
-  if (!step.required_label.empty() && !view.HasLabel(step.required_label))
-    return false;
   if (step.max_per_worker == 0)
     return true;
   const auto running_here =
@@ -197,6 +205,22 @@
   }
 }
 
+void job_scheduler_impl::RefuseUndispatchedJobs() {
+  std::vector<scheduled_job*> undispatched;
+  for (const std::uint64_t number : waiting_jobs_) {
+    scheduled_job& job = *jobs_.at(number);
+    const microseconds max_wait =
+        Scale(job.target - job.accepted_at, kUndispatchedTimeShare);
+    const bool waits_too_long =
+        !job.first_dispatch && now_ - job.accepted_at > max_wait;
+    const bool not_run = job.outstanding == 0 && !job.may_have_run;
+    if (waits_too_long || (not_run && NeedsEvacuatedWorker(job)))
+      undispatched.push_back(&job);
+  }
+  for (scheduled_job* job : undispatched)
+    AbandonJob(*job, job_errc::kNoEndpoint);
+}
+
 void job_scheduler_impl::SendFrames() {
   for (worker_view* view : view_list_) {
     if (view->outgoing.empty())
--- a/src/scheduler/job_scheduler_evacuations.cc
+++ b/src/scheduler/job_scheduler_evacuations.cc
@@ -1,8 +1,18 @@
+#include <algorithm>
 #include <utility>
 
+#include "egretrack/scheduler/members.h"
+#include "scheduler/domain_return.h"
 #include "scheduler/job_scheduler_impl.h"
 
 namespace egretrack::scheduler {
+namespace {
+
+// After this time the agents of a restarted entry have connected: they try
+// again after 2,500 ms of silence, and get an answer within another second.
+constexpr milliseconds kDomainCheckDelay{5000};
+
+}  // namespace
 
 void job_scheduler_impl::OnEvacuations(evacuations_received& event) {
   const bool changed =
@@ -24,7 +34,54 @@
 }
 
 void job_scheduler_impl::UpdateEvacuated(worker_view& view) {
+  const bool before = view.evacuated;
   view.evacuated = evacuations_.IsEvacuated(view.failure_domain);
+  if (before && !view.evacuated)
+    view.returned_at = now_;
+}
+
+bool job_scheduler_impl::NeedsEvacuatedWorker(const scheduled_job& job) const {
+  if (evacuations_.CountEvacuated() == 0)
+    return false;
+  return std::ranges::any_of(job.steps, [&](const scheduled_step& step) {
+    bool evacuated = false;
+    for (const worker_view* view : view_list_) {
+      if (!CanRun(*view, job, step.spec))
+        continue;
+      if (!view->evacuated)
+        return false;
+      evacuated = true;
+    }
+    return evacuated;
+  });
+}
+
+bool job_scheduler_impl::IsShareUsedUp(const worker_view& view,
+                                       const resources& need) const {
+  if (!view.returned_at)
+    return false;
+  const std::size_t entries =
+      std::clamp<std::size_t>(members_.size(), 1, kLinkedEntriesPerAgent);
+  return !MayDispatchAfterReturn(
+      {now_ - *view.returned_at, view.reported_free_cpu(),
+       view.UnacknowledgedCpu(), entries},
+      need.cpu_milli);
+}
+
+void job_scheduler_impl::RecordUnknownDomains() {
+  while (!domain_checks_.empty() && domain_checks_.front().due <= now_) {
+    const wire::domain_evacuation& check = domain_checks_.front().evacuation;
+    const bool known =
+        std::ranges::any_of(view_list_, [&check](const worker_view* view) {
+          return view->failure_domain == check.domain;
+        });
+    if (!known) {
+      RecordDecision(decision_kind::kEvacuationOfUnknownDomain, "",
+                     {{"domain", check.domain},
+                      {"version", static_cast<std::int64_t>(check.version)}});
+    }
+    domain_checks_.pop_front();
+  }
 }
 
 // Agents are told at once and not with the next heartbeat reply, so that they
@@ -38,6 +95,8 @@
                     {"version", static_cast<std::int64_t>(change.version)},
                     {"evacuated", std::int64_t{change.evacuated ? 1 : 0}},
                     {"source", std::string(source)}});
+    if (change.evacuated)
+      domain_checks_.push_back({now_ + kDomainCheckDelay, change});
   }
   if (evacuations_.TakeOverflow()) {
     RecordDecision(
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -52,6 +52,11 @@
     microseconds wait{0};
     microseconds run{0};
   };
+  // An evacuated domain to look up among those of the agents.
+  struct domain_check {
+    monotonic_time due;
+    wire::domain_evacuation evacuation;
+  };
   struct cached_answer {
     job_state state = job_state::kCompleted;
     job_errc code = job_errc::kNotReady;
@@ -96,7 +101,6 @@
   void CancelOutstanding(scheduled_job& job);
   void CacheAnswer(const scheduled_job& job, job_state state, job_errc code);
   void ExpireDeadlines();
-  void RefuseUndispatchedJobs();
 
   // ---- job_scheduler_agents.cc: sessions and reports -----------------------
   void OnHeartbeat(wire::agent_beat& message, worker_view& view);
@@ -136,9 +140,20 @@
   // Applies changes of the map to the views and tells the agents.
   void AdoptEvacuations(std::string_view source);
   void UpdateEvacuated(worker_view& view);
+  // Whether only workers of evacuated domains can run a step of the job.
+  bool NeedsEvacuatedWorker(const scheduled_job& job) const;
+  // Whether the worker's domain has returned so recently that this entry's
+  // share of it is used up.
+  bool IsShareUsedUp(const worker_view& view, const resources& need) const;
+  void RecordUnknownDomains();
 
   // ---- job_scheduler_dispatch.cc: from waiting tasks to agents -------------
   bool IsUsable(const worker_view& view) const;
+  // Whether the worker could run the step if it were free and its domain not
+  // evacuated.
+  bool CanRun(const worker_view& view,
+              const scheduled_job& job,
+              const job_step& step) const;
   bool IsEligible(const worker_view& view,
                   const scheduled_job& job,
                   std::uint32_t task) const;
@@ -149,6 +164,7 @@
                               const scheduled_step& step) const;
   void DispatchWaitingTasks(scheduled_job& job);
   bool DispatchTask(scheduled_job& job, std::uint32_t task);
+  void RefuseUndispatchedJobs();
   void SendFrames();
 
   const scheduler_options options_;
@@ -162,6 +178,7 @@
   std::uint64_t members_hash_ = 0;
   run_time_model run_times_;
   evacuation_map evacuations_;
+  std::deque<domain_check> domain_checks_;  // Ordered by time.
 
   // Views are never removed, so that tasks can point to them; there is one for
   // each agent that ever connected.
--- a/src/scheduler/job_scheduler_jobs.cc
+++ b/src/scheduler/job_scheduler_jobs.cc
@@ -11,9 +11,6 @@
 constexpr std::size_t kMaxCachedAnswers = 4096;
 // For tasks without an estimate; most tasks run for about this time.
 constexpr milliseconds kDefaultEstimate{200};
-// A job without a dispatched task is refused after this share of the time until
-// its target, so that the caller can try another entry.
-constexpr double kUndispatchedTimeShare = 0.2;
 constexpr milliseconds kRetryAfter{1000};
 // A job is refused when not even this share of the predicted run time fits
 // before its deadline. Predictions are off by about 40 %.
@@ -62,6 +59,8 @@
     return Refuse(event, job_key,
                   {job_errc::kRecordsFull, kRetryAfter, {}, {}});
   auto job = MakeJob(event, *route);
+  if (NeedsEvacuatedWorker(*job))
+    return Refuse(event, job_key, {job_errc::kNoEndpoint, kRetryAfter, {}, {}});
   if (auto refused = CheckCapacity(*job))
     return Refuse(event, job_key, *refused);
   Accept(std::move(job));
@@ -403,17 +402,4 @@
   }
 }
 
-void job_scheduler_impl::RefuseUndispatchedJobs() {
-  std::vector<scheduled_job*> undispatched;
-  for (const std::uint64_t number : waiting_jobs_) {
-    scheduled_job& job = *jobs_.at(number);
-    const microseconds max_wait =
-        Scale(job.target - job.accepted_at, kUndispatchedTimeShare);
-    if (!job.first_dispatch && now_ - job.accepted_at > max_wait)
-      undispatched.push_back(&job);
-  }
-  for (scheduled_job* job : undispatched)
-    AbandonJob(*job, job_errc::kNoEndpoint);
-}
-
 }  // namespace egretrack::scheduler
--- a/src/scheduler/tests/job_scheduler_evacuation_test.cc
+++ b/src/scheduler/tests/job_scheduler_evacuation_test.cc
@@ -1,6 +1,7 @@
 #include <gtest/gtest.h>
 
 #include "egretrack/scheduler/evacuation_map.h"
+#include "scheduler/domain_return.h"
 #include "scheduler/tests/scheduler_driver.h"
 
 namespace egretrack::scheduler {
@@ -149,5 +150,116 @@
   EXPECT_EQ(TakeAgents(), std::vector<std::string>{"a2"});
 }
 
+// Guards against callers that wait for a job which only workers of evacuated
+// domains can run, and against refusing one that another worker can run.
+TEST_F(JobSchedulerEvacuation, RefusesJobThatNeedsEvacuatedWorker) {
+  Receive({{"palermo", 5, true}});
+  auto job = scheduler_driver::MakeJob(1, "j");
+  job.steps.push_back(job.steps[0]);
+  driver_.Handle(job);
+  EXPECT_FALSE(driver_.AnswerFor(1));
+  EXPECT_FALSE(TakeAgents().empty());
+  Receive({{"enna", 6, true}});
+  driver_.Handle(scheduler_driver::MakeJob(2, "k"));
+  ASSERT_TRUE(driver_.AnswerFor(2));
+  EXPECT_EQ(driver_.AnswerFor(2)->state, job_state::kRefused);
+  EXPECT_EQ(driver_.AnswerFor(2)->code, job_errc::kNoEndpoint);
+  // A job that no worker could run anyway waits, as a worker may appear.
+  auto large = scheduler_driver::MakeJob(3, "l");
+  large.steps[0].need.cpu_milli = 64000;
+  driver_.Handle(large);
+  EXPECT_FALSE(driver_.AnswerFor(3));
+}
+
+// Guards against a refusal that comes only at the deadline when the tasks of a
+// job were returned without a run.
+TEST_F(JobSchedulerEvacuation, RefusesReturnedJobThatNeedsEvacuatedWorker) {
+  Receive({{"enna", 4, true}});
+  driver_.Handle(scheduler_driver::MakeJob(1, "j", 2));
+  const auto dispatched = driver_.TakeDispatched();
+  ASSERT_EQ(dispatched.size(), 2U);
+  Receive({{"palermo", 6, true}});
+  driver_.Report(dispatched[0], wire::run_end::kRefused,
+                 wire::run_reason::kEvacuated);
+  EXPECT_FALSE(driver_.AnswerFor(1));
+  driver_.Report(dispatched[1], wire::run_end::kRefused,
+                 wire::run_reason::kEvacuated);
+  ASSERT_TRUE(driver_.AnswerFor(1));
+  EXPECT_EQ(driver_.AnswerFor(1)->state, job_state::kRefused);
+  EXPECT_EQ(driver_.AnswerFor(1)->code, job_errc::kNoEndpoint);
+}
+
+// Guards against a name that the operator has mistyped without noticing, and
+// against such a line for each domain after the restart of an entry.
+TEST_F(JobSchedulerEvacuation, ReportsUnknownDomainOncePerVersion) {
+  Receive({{"palermo", 5, true}, {"palermmo", 6, true}});
+  driver_.AdvanceTimeWithHeartbeats(seconds(6), {1, 2});
+  EXPECT_EQ(CountRecords(decision_kind::kEvacuationOfUnknownDomain), 1U);
+  Receive({{"palermo", 5, true}, {"palermmo", 6, true}}, 8);
+  driver_.AdvanceTimeWithHeartbeats(seconds(6), {1, 2});
+  EXPECT_EQ(CountRecords(decision_kind::kEvacuationOfUnknownDomain), 1U);
+  EXPECT_EQ(CountRecords(decision_kind::kEvacuationChanged), 2U);
+}
+
+// Guards against agents that get several times their capacity when the domain
+// of the only workers for a step returns: every entry has waiting tasks, sees
+// the workers as free, and knows nothing of the dispatches of the others.
+TEST(JobSchedulerDomainReturn, EntriesShareReturnedWorkers) {
+  constexpr std::size_t kEntries = 8;
+  constexpr std::uint32_t kWaitingTasks = 20;
+  constexpr std::size_t kCapacity = 10;  // Tasks that fit the worker.
+  std::vector<wire::entry_member> members;
+  for (std::size_t number = 0; number < kEntries; ++number)
+    members.push_back({"e" + std::to_string(number), "10.0.0.1:7"});
+  std::vector<std::unique_ptr<scheduler_driver>> entries;
+  for (std::size_t number = 0; number < kEntries; ++number) {
+    auto& entry = *entries.emplace_back(std::make_unique<scheduler_driver>());
+    entry.Configure();
+    entry.Handle(members_received{members});
+    entry.SendHeartbeat(1);
+    auto job = scheduler_driver::MakeJob(1, "j");
+    job.steps.push_back(job.steps[0]);
+    job.steps[1].count = kWaitingTasks;
+    job.steps[1].after = {0};
+    entry.Handle(job);
+    const auto first = entry.TakeDispatched();
+    ASSERT_EQ(first.size(), 1U);
+    entry.Handle(evacuations_received{{{"palermo", 5, true}}, {}, {}});
+    entry.Report(first[0], wire::run_end::kDone);
+    EXPECT_TRUE(entry.TakeDispatched().empty());
+  }
+  std::size_t at_once = 0;
+  for (const auto& entry : entries) {
+    entry->Handle(evacuations_received{{{"palermo", 6, false}}, {}, {}});
+    const std::size_t dispatched = entry->TakeDispatched().size();
+    EXPECT_GT(dispatched, 0U);
+    at_once += dispatched;
+  }
+  EXPECT_LE(at_once, kCapacity);
+  // Load reports release the rest.
+  scheduler_driver& entry = *entries.front();
+  std::size_t dispatched = 1;
+  for (std::size_t report = 0; report < 5; ++report) {
+    entry.AdvanceTime(milliseconds(20));
+    entry.SendHeartbeat(1);
+    dispatched += entry.TakeDispatched().size();
+  }
+  EXPECT_EQ(dispatched, 6U);
+  entry.AdvanceTimeWithHeartbeats(seconds(1), {1});
+  EXPECT_EQ(dispatched + entry.TakeDispatched().size(), kWaitingTasks);
+}
+
+// Guards against a limit that lasts, and against a task larger than the share
+// that is never placed.
+TEST(JobSchedulerDomainReturn, LimitIsShortAndAllowsOneTask) {
+  returned_worker worker{milliseconds(10), 16000, 0, 8};
+  EXPECT_TRUE(MayDispatchAfterReturn(worker, 16000));
+  worker.unacknowledged_cpu = 1000;
+  EXPECT_TRUE(MayDispatchAfterReturn(worker, 1000));
+  EXPECT_FALSE(MayDispatchAfterReturn(worker, 1001));
+  worker.since_return = seconds(1);
+  EXPECT_TRUE(MayDispatchAfterReturn(worker, 16000));
+}
+
 }  // namespace
 }  // namespace egretrack::scheduler
--- a/src/scheduler/worker_view.cc
+++ b/src/scheduler/worker_view.cc
@@ -66,6 +66,13 @@
   return free;
 }
 
+std::int64_t worker_view::UnacknowledgedCpu() const {
+  std::int64_t cpu = 0;
+  for (const unacknowledged_dispatch& dispatch : unacknowledged_)
+    cpu += dispatch.need.cpu_milli;
+  return cpu;
+}
+
 microseconds worker_view::PredictWait(const resources& need,
                                       microseconds typical_run_time) const {
   const resources free = FreeResources();
@@ -75,11 +82,8 @@
     return typical_run_time;
   // Dispatches that the load report does not include yet are assumed to finish
   // at the rate at which the worker's full capacity turns over.
-  std::int64_t unacknowledged_cpu = 0;
-  for (const unacknowledged_dispatch& dispatch : unacknowledged_)
-    unacknowledged_cpu += dispatch.need.cpu_milli;
   const std::int64_t excess =
-      std::min(unacknowledged_cpu,
+      std::min(UnacknowledgedCpu(),
                std::max<std::int64_t>(need.cpu_milli - free.cpu_milli, 0));
   return load_.wait + typical_run_time * excess / worker->capacity.cpu_milli;
 }
--- a/src/scheduler/worker_view.h
+++ b/src/scheduler/worker_view.h
@@ -42,6 +42,10 @@
   // Free resources by the last load report, less those of dispatches that the
   // report does not include; may be negative.
   resources FreeResources() const;
+  // Free CPU by the last load report, and the CPU of the dispatches that it
+  // does not include.
+  std::int64_t reported_free_cpu() const { return load_.free.cpu_milli; }
+  std::int64_t UnacknowledgedCpu() const;
   // Predicted wait of a task that needs `need`; `typical_run_time` is the
   // predicted run time of such a task.
   microseconds PredictWait(const resources& need,
@@ -65,8 +69,9 @@
   worker_health health;
   refusal_rate refusals;
   std::uint32_t outstanding = 0;
-  bool evacuated = false;              // The failure domain is evacuated.
-  std::uint64_t evacuations_hash = 0;  // Of those known to the agent.
+  bool evacuated = false;  // The failure domain is evacuated.
+  std::optional<monotonic_time> returned_at;  // End of the last evacuation.
+  std::uint64_t evacuations_hash = 0;         // Of those known to the agent.
   std::vector<wire::entry_run_message> outgoing;
 
   // Starts a session without dispatches.
