--- a/src/job_entry/job_entry_control.h
+++ b/src/job_entry/job_entry_control.h
@@ -60,7 +60,11 @@
 inline constexpr std::string_view kCancelPath = "/v1/jobs/cancel";
 
 // Requests of other processes and operators to the internal port.
-enum class internal_query : std::uint8_t { kMetrics, kConfiguration };
+enum class internal_query : std::uint8_t {
+  kMetrics,
+  kConfiguration,
+  kEvacuations,
+};
 struct internal_request {
   internal_query query = internal_query::kMetrics;
   net::http_exchange_ptr exchange;
