--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -73,14 +73,9 @@
   // ---- job_scheduler_jobs.cc: from submission to answer --------------------
   scheduled_job* FindJob(std::string_view host, std::string_view path);
   bool AttachCaller(const job_submission& event, std::string_view key);
-  std::optional<refusal> CheckContent(const job_submission& event) const;
-  std::optional<refusal> CheckCapacity(const scheduled_job& job) const;
   std::unique_ptr<scheduled_job> MakeJob(job_submission& event,
                                          const route_match& route) const;
   void Accept(std::unique_ptr<scheduled_job> accepted);
-  void Refuse(const job_submission& event,
-              std::string_view job_key,
-              const refusal& reason);
   void CompleteTask(scheduled_job& job, std::uint32_t task);
   void EnqueueTask(scheduled_job& job, std::uint32_t task);
   void UnblockSteps(scheduled_job& job);
@@ -93,6 +88,13 @@
   void ExpireDeadlines();
   void RefuseUndispatchedJobs();
 
+  // ---- job_scheduler_admission.cc: whether a job is accepted ----------------
+  std::optional<refusal> CheckContent(const job_submission& event) const;
+  std::optional<refusal> CheckCapacity(const scheduled_job& job) const;
+  void Refuse(const job_submission& event,
+              std::string_view job_key,
+              const refusal& reason);
+
   // ---- job_scheduler_agents.cc: sessions and reports -----------------------
   void OnHeartbeat(wire::agent_beat& message, worker_view& view);
   void OnReport(wire::run_report& message, worker_view& view);
--- a/src/scheduler/job_scheduler_jobs.cc
+++ b/src/scheduler/job_scheduler_jobs.cc
@@ -6,8 +6,6 @@
 namespace egretrack::scheduler {
 namespace {
 
-constexpr std::uint32_t kMaxTasks = 1200;
-constexpr std::size_t kMaxSpecBytes = 4000;
 constexpr std::size_t kMaxCachedAnswers = 4096;
 // For tasks without an estimate; most tasks run for about this time.
 constexpr milliseconds kDefaultEstimate{200};
@@ -15,10 +13,6 @@
 // its target, so that the caller can try another entry.
 constexpr double kUndispatchedTimeShare = 0.2;
 constexpr milliseconds kRetryAfter{1000};
-// A job is refused when not even this share of the predicted run time fits
-// before its deadline. Predictions are off by about 40 %.
-constexpr double kMinRunTimeShare = 0.5;
-
 std::string JobKey(std::string_view kind, std::string_view job_key) {
   std::string key(kind);
   key += '/';
@@ -90,31 +84,6 @@
   return true;
 }
 
-std::optional<job_scheduler_impl::refusal> job_scheduler_impl::CheckContent(
-    const job_submission& event) const {
-  if (!event.unsupported_feature.empty())
-    return refusal{job_errc::kUnsupported, {}, {}, {}};
-  if (event.spec.size() > kMaxSpecBytes)
-    return refusal{job_errc::kPayloadTooLarge, {}, {}, {}};
-  std::uint64_t tasks = 0;
-  for (std::size_t number = 0; number < event.steps.size(); ++number) {
-    const job_step& step = event.steps[number];
-    tasks += step.count;
-    const bool ordered = std::ranges::all_of(
-        step.after,
-        [number](std::uint32_t dependency) { return dependency < number; });
-    if (step.count == 0 || !ordered)
-      return refusal{job_errc::kNoTasks, {}, {}, {}};
-  }
-  if (tasks == 0)
-    return refusal{job_errc::kNoTasks, {}, {}, {}};
-  if (tasks > kMaxTasks)
-    return refusal{job_errc::kTooManyTasks, {}, {}, {}};
-  if (event.deadline && event.deadline->count() <= 0)
-    return refusal{job_errc::kInvalidDeadline, {}, {}, {}};
-  return std::nullopt;
-}
-
 std::unique_ptr<scheduled_job> job_scheduler_impl::MakeJob(
     job_submission& event,
     const route_match& route) const {
@@ -148,32 +117,6 @@
   return job;
 }
 
-// Refuses a job that no worker can end by its deadline. Without any eligible
-// worker the job is accepted and waits briefly, as a worker may appear.
-std::optional<job_scheduler_impl::refusal> job_scheduler_impl::CheckCapacity(
-    const scheduled_job& job) const {
-  for (const scheduled_step& step : job.steps) {
-    const auto candidates = FindCandidates(job, step.first_task);
-    if (candidates.empty())
-      continue;
-    const auto earliest = std::ranges::min(
-        candidates, {}, [](const placement_candidate& candidate) {
-          return candidate.wait + Scale(candidate.run, kMinRunTimeShare);
-        });
-    const microseconds time_left = job.deadline - now_;
-    if (Scale(earliest.run, kMinRunTimeShare) > time_left) {
-      return refusal{job_errc::kDeadlineUnreachable, milliseconds(0),
-                     earliest.wait, earliest.run};
-    }
-    if (earliest.wait + Scale(earliest.run, kMinRunTimeShare) > time_left) {
-      return refusal{job_errc::kOverloaded,
-                     std::chrono::ceil<milliseconds>(earliest.wait),
-                     earliest.wait, earliest.run};
-    }
-  }
-  return std::nullopt;
-}
-
 void job_scheduler_impl::Accept(std::unique_ptr<scheduled_job> accepted) {
   accepted->number = ++last_job_number_;
   scheduled_job& job = *accepted;
@@ -193,24 +136,6 @@
   DispatchWaitingTasks(job);
 }
 
-void job_scheduler_impl::Refuse(const job_submission& event,
-                                std::string_view job_key,
-                                const refusal& reason) {
-  ++counters_.jobs_refused;
-  RecordDecision(
-      decision_kind::kJobRefused, job_key.empty() ? event.path : job_key,
-      {{"reason", std::string(decision::Name(reason.code))},
-       {"asked_for", event.unsupported_feature},
-       {"retry_after_ms", reason.retry_after.count()},
-       {"deadline_ms", event.deadline.value_or(milliseconds(0)).count()},
-       {"wait_us", reason.wait.count()},
-       {"run_us", reason.run.count()},
-       {"config_version", static_cast<std::int64_t>(
-                              configuration_ ? configuration_->version : 0)}});
-  Emit(answer_job{event.caller, job_state::kRefused, reason.code,
-                  reason.retry_after});
-}
-
 scheduled_job* job_scheduler_impl::FindJob(std::string_view host,
                                            std::string_view path) {
   const auto route = routes_.Find(host, path);
