Derive Retry-After from the backlog and its drain rate

Refusals name 1 s to 10 s, spread over callers by a hash of the job key. not_ready and draining keep 1 s; where a retry cannot help there is none. Refusals are counted by reason and kind, with a histogram of delays.

--- a/src/include/egretrack/scheduler/job_scheduler.h
+++ b/src/include/egretrack/scheduler/job_scheduler.h
@@ -146,13 +146,21 @@
 // A draining entry has answered its last job.
 struct drain_finished {};
 
+// Reports a refused job to the metrics.
+struct refusal_metrics {
+  std::string kind;  // Empty if unknown.
+  job_errc code = job_errc::kNotReady;
+  milliseconds retry_after{0};  // 0: none.
+};
+
 using scheduler_command = std::variant<answer_job,
                                        answer_backlog,
                                        send_to_agent,
                                        job_metrics,
                                        decision_record,
                                        close_front,
-                                       drain_finished>;
+                                       drain_finished,
+                                       refusal_metrics>;
 
 // ---- The core -------------------------------------------------------------
 
--- a/src/job_entry/job_entry_control.cc
+++ b/src/job_entry/job_entry_control.cc
@@ -337,7 +337,8 @@
       scheduler::scheduler_command, &job_entry_control::AnswerJob,
       &job_entry_control::AnswerBacklog, &job_entry_control::SendToAgent,
       &job_entry_control::RecordJobMetrics, &job_entry_control::LogDecision,
-      &job_entry_control::CloseFront, &job_entry_control::FinishDrain>;
+      &job_entry_control::CloseFront, &job_entry_control::FinishDrain,
+      &job_entry_control::RecordRefusal>;
   for (scheduler::scheduler_command& command : commands_)
     handlers::Call(*this, command, now);
   commands_.clear();
@@ -388,6 +389,17 @@
   ++job_outcome_counts_[kind + ",outcome=\"" + outcome + "\""];
 }
 
+void job_entry_control::RecordRefusal(scheduler::refusal_metrics& command,
+                                      monotonic_time& /*now*/) {
+  const std::string kind = "kind=\"" + command.kind + "\"";
+  const std::string reason(decision::Name(command.code));
+  ++refusal_counts_[kind + ",reason=\"" + reason + "\""];
+  if (command.retry_after > milliseconds(0)) {
+    metrics_->ObserveDuration("egretrack_retry_after_seconds", kind,
+                              command.retry_after);
+  }
+}
+
 void job_entry_control::LogDecision(scheduler::decision_record& command,
                                     monotonic_time& now) {
   log_.Write(scheduler::Name(command.kind),
@@ -452,6 +464,8 @@
   count("egretrack_log_lines_left_out_total", log_.suppressed());
   for (const auto& [labels, value] : job_outcome_counts_)
     metrics_->SetCounter("egretrack_jobs_ended_total", labels, value);
+  for (const auto& [labels, value] : refusal_counts_)
+    metrics_->SetCounter("egretrack_job_refusals_total", labels, value);
   const scheduler::scheduler_gauges gauges = core_->gauges();
   const auto gauge = [this](std::string_view name, double value) {
     metrics_->SetGauge(name, "", value);
--- a/src/job_entry/job_entry_control.h
+++ b/src/job_entry/job_entry_control.h
@@ -135,6 +135,7 @@
   void AnswerBacklog(scheduler::answer_backlog& command, monotonic_time& now);
   void SendToAgent(scheduler::send_to_agent& command, monotonic_time& now);
   void RecordJobMetrics(scheduler::job_metrics& command, monotonic_time& now);
+  void RecordRefusal(scheduler::refusal_metrics& command, monotonic_time& now);
   void LogDecision(scheduler::decision_record& command, monotonic_time& now);
   void CloseFront(scheduler::close_front& command, monotonic_time& now);
   void FinishDrain(scheduler::drain_finished& command, monotonic_time& now);
@@ -170,6 +171,7 @@
   bool store_unreachable_ = false;
   monotonic_time store_unreachable_since_{};
   std::map<std::string, std::uint64_t> job_outcome_counts_;  // By labels.
+  std::map<std::string, std::uint64_t> refusal_counts_;      // By labels.
 };
 
 }  // namespace egretrack::job_entry
--- a/src/scheduler/job_scheduler_admission.cc
+++ b/src/scheduler/job_scheduler_admission.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "egretrack/scheduler/members.h"
 #include "scheduler/job_scheduler_impl.h"
 
 namespace egretrack::scheduler {
@@ -17,9 +18,9 @@
 std::optional<job_scheduler_impl::refusal> job_scheduler_impl::CheckContent(
     const job_submission& event) const {
   if (!event.unsupported_feature.empty())
-    return refusal{job_errc::kUnsupported, {}, {}, {}};
+    return refusal{job_errc::kUnsupported, {}, {}};
   if (event.spec.size() > kMaxSpecBytes)
-    return refusal{job_errc::kPayloadTooLarge, {}, {}, {}};
+    return refusal{job_errc::kPayloadTooLarge, {}, {}};
   std::uint64_t tasks = 0;
   for (std::size_t number = 0; number < event.steps.size(); ++number) {
     const job_step& step = event.steps[number];
@@ -28,14 +29,14 @@
         step.after,
         [number](std::uint32_t dependency) { return dependency < number; });
     if (step.count == 0 || !ordered)
-      return refusal{job_errc::kNoTasks, {}, {}, {}};
+      return refusal{job_errc::kNoTasks, {}, {}};
   }
   if (tasks == 0)
-    return refusal{job_errc::kNoTasks, {}, {}, {}};
+    return refusal{job_errc::kNoTasks, {}, {}};
   if (tasks > kMaxTasks)
-    return refusal{job_errc::kTooManyTasks, {}, {}, {}};
+    return refusal{job_errc::kTooManyTasks, {}, {}};
   if (event.deadline && event.deadline->count() <= 0)
-    return refusal{job_errc::kInvalidDeadline, {}, {}, {}};
+    return refusal{job_errc::kInvalidDeadline, {}, {}};
   return std::nullopt;
 }
 
@@ -53,34 +54,50 @@
         });
     const microseconds time_left = job.deadline - now_;
     if (Scale(earliest.run, kMinRunTimeShare) > time_left) {
-      return refusal{job_errc::kDeadlineUnreachable, milliseconds(0),
-                     earliest.wait, earliest.run};
+      return refusal{job_errc::kDeadlineUnreachable, earliest.wait,
+                     earliest.run};
     }
     if (earliest.wait + Scale(earliest.run, kMinRunTimeShare) > time_left) {
-      return refusal{job_errc::kOverloaded,
-                     std::chrono::ceil<milliseconds>(earliest.wait),
-                     earliest.wait, earliest.run};
+      return refusal{job_errc::kOverloaded, earliest.wait, earliest.run};
     }
   }
   return std::nullopt;
 }
 
+milliseconds job_scheduler_impl::DecideRetry(std::string_view kind,
+                                             std::string_view job_key,
+                                             job_errc code,
+                                             std::vector<event_field>& fields) {
+  const retry_decision retry = retry_delay_.Decide(
+      code, jobs_.size(), RendezvousWeight(options_.entry, job_key), now_);
+  const auto drain_rate = static_cast<std::int64_t>(1000 * retry.drain_rate);
+  fields.push_back({"retry_after_ms", milliseconds(retry.delay).count()});
+  fields.push_back({"backlog", static_cast<std::int64_t>(retry.backlog)});
+  fields.push_back({"returning", static_cast<std::int64_t>(retry.returning)});
+  fields.push_back({"drained_per_1000_s", drain_rate});
+  Emit(refusal_metrics{std::string(kind), code, retry.delay});
+  return retry.delay;
+}
+
 void job_scheduler_impl::Refuse(const job_submission& event,
+                                std::string_view kind,
                                 std::string_view job_key,
                                 const refusal& reason) {
   ++counters_.jobs_refused;
-  RecordDecision(
-      decision_kind::kJobRefused, job_key.empty() ? event.path : job_key,
-      {{"reason", std::string(decision::Name(reason.code))},
-       {"asked_for", event.unsupported_feature},
-       {"retry_after_ms", reason.retry_after.count()},
-       {"deadline_ms", event.deadline.value_or(milliseconds(0)).count()},
-       {"wait_us", reason.wait.count()},
-       {"run_us", reason.run.count()},
-       {"config_version", static_cast<std::int64_t>(
-                              configuration_ ? configuration_->version : 0)}});
-  Emit(answer_job{event.caller, job_state::kRefused, reason.code,
-                  reason.retry_after});
+  std::vector<event_field> fields{
+      {"kind", std::string(kind)},
+      {"reason", std::string(decision::Name(reason.code))},
+      {"asked_for", event.unsupported_feature},
+      {"deadline_ms", event.deadline.value_or(milliseconds(0)).count()},
+      {"wait_us", reason.wait.count()},
+      {"run_us", reason.run.count()},
+      {"config_version", static_cast<std::int64_t>(
+                             configuration_ ? configuration_->version : 0)}};
+  const milliseconds retry_after =
+      DecideRetry(kind, job_key, reason.code, fields);
+  RecordDecision(decision_kind::kJobRefused,
+                 job_key.empty() ? event.path : job_key, std::move(fields));
+  Emit(answer_job{event.caller, job_state::kRefused, reason.code, retry_after});
 }
 
 }  // namespace egretrack::scheduler
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -15,6 +15,7 @@
 #include "decision/timer_queue.h"
 #include "egretrack/scheduler/job_scheduler.h"
 #include "scheduler/placement.h"
+#include "scheduler/retry_delay.h"
 #include "scheduler/route_table.h"
 #include "scheduler/run_end_proof.h"
 #include "scheduler/run_time_model.h"
@@ -41,7 +42,6 @@
  private:
   struct refusal {
     job_errc code = job_errc::kOverloaded;
-    milliseconds retry_after{0};
     // Predictions for the worker with the earliest end, if workers were
     // compared.
     microseconds wait{0};
@@ -91,7 +91,14 @@
   // ---- job_scheduler_admission.cc: whether a job is accepted ----------------
   std::optional<refusal> CheckContent(const job_submission& event) const;
   std::optional<refusal> CheckCapacity(const scheduled_job& job) const;
+  // Returns the retry delay of a refusal, reports it to the metrics and adds
+  // what decided to the fields of the record.
+  milliseconds DecideRetry(std::string_view kind,
+                           std::string_view job_key,
+                           job_errc code,
+                           std::vector<event_field>& fields);
   void Refuse(const job_submission& event,
+              std::string_view kind,
               std::string_view job_key,
               const refusal& reason);
 
@@ -151,6 +158,7 @@
   std::vector<wire::entry_member> members_;
   std::uint64_t members_hash_ = 0;
   run_time_model run_times_;
+  retry_delay retry_delay_;
 
   // Views are never removed, so that tasks can point to them; there is one for
   // each agent that ever connected.
--- a/src/scheduler/job_scheduler_jobs.cc
+++ b/src/scheduler/job_scheduler_jobs.cc
@@ -12,7 +12,6 @@
 // A job without a dispatched task is refused after this share of the time until
 // its target, so that the caller can try another entry.
 constexpr double kUndispatchedTimeShare = 0.2;
-constexpr milliseconds kRetryAfter{1000};
 std::string JobKey(std::string_view kind, std::string_view job_key) {
   std::string key(kind);
   key += '/';
@@ -41,23 +40,24 @@
 void job_scheduler_impl::OnSubmission(job_submission& event) {
   last_submission_ = now_;
   if (!configuration_)
-    return Refuse(event, "", {job_errc::kNotReady, kRetryAfter, {}, {}});
+    return Refuse(event, "", "", {job_errc::kNotReady, {}, {}});
   const auto route = routes_.Find(event.host, event.path);
   if (!route)
-    return Refuse(event, "", {job_errc::kUnknownKind, {}, {}, {}});
+    return Refuse(event, "", "", {job_errc::kUnknownKind, {}, {}});
   const std::string job_key(route->remaining_path);
   if (!drain_.accepts_jobs())
-    return Refuse(event, job_key, {job_errc::kDraining, kRetryAfter, {}, {}});
+    return Refuse(event, route->kind->name, job_key,
+                  {job_errc::kDraining, {}, {}});
   if (AttachCaller(event, JobKey(route->kind->name, route->remaining_path)))
     return;
   if (auto refused = CheckContent(event))
-    return Refuse(event, job_key, *refused);
+    return Refuse(event, route->kind->name, job_key, *refused);
   if (jobs_.size() >= options_.max_jobs)
-    return Refuse(event, job_key,
-                  {job_errc::kRecordsFull, kRetryAfter, {}, {}});
+    return Refuse(event, route->kind->name, job_key,
+                  {job_errc::kRecordsFull, {}, {}});
   auto job = MakeJob(event, *route);
   if (auto refused = CheckCapacity(*job))
-    return Refuse(event, job_key, *refused);
+    return Refuse(event, route->kind->name, job_key, *refused);
   Accept(std::move(job));
 }
 
@@ -256,6 +256,8 @@
   const bool completed = state == job_state::kCompleted;
   const bool refused = state == job_state::kRefused;
   counters_.jobs_completed += completed ? 1 : 0;
+  if (completed)
+    retry_delay_.RecordCompletion(now_);
   counters_.jobs_refused += refused ? 1 : 0;
   counters_.jobs_failed += state == job_state::kFailed ? 1 : 0;
   counters_.jobs_unknown += state == job_state::kOutcomeUnknown ? 1 : 0;
@@ -279,13 +281,15 @@
     fields.push_back({"outstanding", std::int64_t{job.outstanding}});
     fields.push_back({"may_have_run", std::int64_t{job.may_have_run ? 1 : 0}});
   }
+  milliseconds retry_after{0};
+  if (refused)
+    retry_after = DecideRetry(job.kind->name, job.job_key, code, fields);
   const decision_kind kind = completed ? decision_kind::kJobAnswered
                              : refused ? decision_kind::kJobRefused
                                        : decision_kind::kJobFailed;
   RecordDecision(kind, job.job_key, std::move(fields));
 
-  Emit(answer_job{job.caller, state, code,
-                  refused ? kRetryAfter : milliseconds(0)});
+  Emit(answer_job{job.caller, state, code, retry_after});
   CacheAnswer(job, state, code);
   CancelOutstanding(job);
   RemoveJob(job);
