Judge a job by the predicted end of its last task

A job that clearly cannot end by its deadline is refused as a whole before a task is dispatched. Until now only the earliest place of the first task of each step was considered.

--- a/src/scheduler/job_scheduler_admission.cc
+++ b/src/scheduler/job_scheduler_admission.cc
@@ -9,18 +9,14 @@
 
 constexpr std::uint32_t kMaxTasks = 1200;
 constexpr std::size_t kMaxSpecBytes = 4000;
-// A job is refused when not even this share of the predicted run time fits
-// before its deadline. Predictions are off by about 40 %.
-constexpr double kMinRunTimeShare = 0.5;
-
 }  // namespace
 
 std::optional<job_scheduler_impl::refusal> job_scheduler_impl::CheckContent(
     const job_submission& event) const {
   if (!event.unsupported_feature.empty())
-    return refusal{job_errc::kUnsupported, {}, {}};
+    return refusal{job_errc::kUnsupported, {}, {}, {}};
   if (event.spec.size() > kMaxSpecBytes)
-    return refusal{job_errc::kPayloadTooLarge, {}, {}};
+    return refusal{job_errc::kPayloadTooLarge, {}, {}, {}};
   std::uint64_t tasks = 0;
   for (std::size_t number = 0; number < event.steps.size(); ++number) {
     const job_step& step = event.steps[number];
@@ -29,39 +25,58 @@
         step.after,
         [number](std::uint32_t dependency) { return dependency < number; });
     if (step.count == 0 || !ordered)
-      return refusal{job_errc::kNoTasks, {}, {}};
+      return refusal{job_errc::kNoTasks, {}, {}, {}};
   }
   if (tasks == 0)
-    return refusal{job_errc::kNoTasks, {}, {}};
+    return refusal{job_errc::kNoTasks, {}, {}, {}};
   if (tasks > kMaxTasks)
-    return refusal{job_errc::kTooManyTasks, {}, {}};
+    return refusal{job_errc::kTooManyTasks, {}, {}, {}};
   if (event.deadline && event.deadline->count() <= 0)
-    return refusal{job_errc::kInvalidDeadline, {}, {}};
+    return refusal{job_errc::kInvalidDeadline, {}, {}, {}};
   return std::nullopt;
 }
 
-// Refuses a job that no worker can end by its deadline. Without any eligible
-// worker the job is accepted and waits briefly, as a worker may appear.
-std::optional<job_scheduler_impl::refusal> job_scheduler_impl::CheckCapacity(
-    const scheduled_job& job) const {
-  for (const scheduled_step& step : job.steps) {
-    const auto candidates = FindCandidates(job, step.first_task);
-    if (candidates.empty())
-      continue;
-    const auto earliest = std::ranges::min(
-        candidates, {}, [](const placement_candidate& candidate) {
-          return candidate.wait + Scale(candidate.run, kMinRunTimeShare);
-        });
-    const microseconds time_left = job.deadline - now_;
-    if (Scale(earliest.run, kMinRunTimeShare) > time_left) {
-      return refusal{job_errc::kDeadlineUnreachable, earliest.wait,
-                     earliest.run};
-    }
-    if (earliest.wait + Scale(earliest.run, kMinRunTimeShare) > time_left) {
-      return refusal{job_errc::kOverloaded, earliest.wait, earliest.run};
+std::vector<step_place> job_scheduler_impl::FindPlaces(
+    const scheduled_job& job,
+    const scheduled_step& step) const {
+  std::vector<step_place> places;
+  for (const placement_candidate& candidate :
+       FindCandidates(job, step.first_task)) {
+    const worker_view& view = *view_list_[candidate.view_index];
+    step_place place;
+    place.wait = candidate.wait;
+    place.run = candidate.run;
+    place.slots = CountFitting(view.worker->capacity, step.spec.need);
+    place.free = CountFitting(view.FreeResources(), step.spec.need);
+    if (step.spec.max_per_worker > 0) {
+      place.slots =
+          std::min(place.slots, std::int64_t{step.spec.max_per_worker});
     }
+    place.free = std::min(place.free, place.slots);
+    places.push_back(place);
   }
-  return std::nullopt;
+  return places;
+}
+
+// Refuses a job that clearly cannot end by its deadline. Without any eligible
+// worker the job is accepted and waits briefly, as a worker may appear.
+std::optional<job_scheduler_impl::refusal> job_scheduler_impl::CheckCapacity(
+    const scheduled_job& job) {
+  std::vector<admission_step> steps;
+  steps.reserve(job.steps.size());
+  for (const scheduled_step& step : job.steps)
+    steps.push_back({step.spec.count, step.spec.after, FindPlaces(job, step)});
+  const end_prediction prediction = PredictEnd(steps);
+  const auto tasks = static_cast<std::uint32_t>(job.tasks.size());
+  const admission_verdict verdict = admission_.Judge(
+      job.kind->name, tasks, prediction, job.deadline - now_, now_);
+  if (verdict == admission_verdict::kAccepted)
+    return std::nullopt;
+  const job_errc code = verdict == admission_verdict::kOverloaded
+                            ? job_errc::kOverloaded
+                            : job_errc::kDeadlineUnreachable;
+  return refusal{code, prediction.earliest.wait, prediction.earliest.run,
+                 prediction.whole};
 }
 
 milliseconds job_scheduler_impl::DecideRetry(std::string_view kind,
@@ -91,6 +106,7 @@
       {"deadline_ms", event.deadline.value_or(milliseconds(0)).count()},
       {"wait_us", reason.wait.count()},
       {"run_us", reason.run.count()},
+      {"predicted_end_us", reason.predicted_end.count()},
       {"config_version", static_cast<std::int64_t>(
                              configuration_ ? configuration_->version : 0)}};
   const milliseconds retry_after =
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -14,6 +14,7 @@
 #include "decision/entry_drain_lifecycle.h"
 #include "decision/timer_queue.h"
 #include "egretrack/scheduler/job_scheduler.h"
+#include "scheduler/job_admission.h"
 #include "scheduler/placement.h"
 #include "scheduler/retry_delay.h"
 #include "scheduler/route_table.h"
@@ -46,6 +47,8 @@
     // compared.
     microseconds wait{0};
     microseconds run{0};
+    // Earliest end of the whole job, relative to now.
+    microseconds predicted_end{0};
   };
   struct cached_answer {
     job_state state = job_state::kCompleted;
@@ -90,7 +93,9 @@
 
   // ---- job_scheduler_admission.cc: whether a job is accepted ----------------
   std::optional<refusal> CheckContent(const job_submission& event) const;
-  std::optional<refusal> CheckCapacity(const scheduled_job& job) const;
+  std::vector<step_place> FindPlaces(const scheduled_job& job,
+                                     const scheduled_step& step) const;
+  std::optional<refusal> CheckCapacity(const scheduled_job& job);
   // Returns the retry delay of a refusal, reports it to the metrics and adds
   // what decided to the fields of the record.
   milliseconds DecideRetry(std::string_view kind,
@@ -159,6 +164,7 @@
   std::uint64_t members_hash_ = 0;
   run_time_model run_times_;
   retry_delay retry_delay_;
+  job_admission admission_;
 
   // Views are never removed, so that tasks can point to them; there is one for
   // each agent that ever connected.
--- a/src/scheduler/job_scheduler_jobs.cc
+++ b/src/scheduler/job_scheduler_jobs.cc
@@ -40,21 +40,21 @@
 void job_scheduler_impl::OnSubmission(job_submission& event) {
   last_submission_ = now_;
   if (!configuration_)
-    return Refuse(event, "", "", {job_errc::kNotReady, {}, {}});
+    return Refuse(event, "", "", {job_errc::kNotReady, {}, {}, {}});
   const auto route = routes_.Find(event.host, event.path);
   if (!route)
-    return Refuse(event, "", "", {job_errc::kUnknownKind, {}, {}});
+    return Refuse(event, "", "", {job_errc::kUnknownKind, {}, {}, {}});
   const std::string job_key(route->remaining_path);
   if (!drain_.accepts_jobs())
     return Refuse(event, route->kind->name, job_key,
-                  {job_errc::kDraining, {}, {}});
+                  {job_errc::kDraining, {}, {}, {}});
   if (AttachCaller(event, JobKey(route->kind->name, route->remaining_path)))
     return;
   if (auto refused = CheckContent(event))
     return Refuse(event, route->kind->name, job_key, *refused);
   if (jobs_.size() >= options_.max_jobs)
     return Refuse(event, route->kind->name, job_key,
-                  {job_errc::kRecordsFull, {}, {}});
+                  {job_errc::kRecordsFull, {}, {}, {}});
   auto job = MakeJob(event, *route);
   if (auto refused = CheckCapacity(*job))
     return Refuse(event, route->kind->name, job_key, *refused);
