--- a/src/include/egretrack/scheduler/job_scheduler.h
+++ b/src/include/egretrack/scheduler/job_scheduler.h
@@ -168,6 +168,13 @@
 // A draining entry has answered its last job.
 struct drain_finished {};
 
+// Reports a refused job to the metrics.
+struct refusal_metrics {
+  std::string kind;  // Empty if unknown.
+  job_errc code = job_errc::kNotReady;
+  milliseconds retry_after{0};  // 0: none.
+};
+
 using scheduler_command = std::variant<answer_job,
                                        answer_backlog,
                                        cancel_at_peers,
@@ -175,7 +182,8 @@
                                        job_metrics,
                                        decision_record,
                                        close_front,
-                                       drain_finished>;
+                                       drain_finished,
+                                       refusal_metrics>;
 
 // ---- The core -------------------------------------------------------------
 
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -16,7 +16,9 @@
 #include "decision/timer_queue.h"
 #include "egretrack/scheduler/evacuation_map.h"
 #include "egretrack/scheduler/job_scheduler.h"
+#include "scheduler/job_admission.h"
 #include "scheduler/placement.h"
+#include "scheduler/retry_delay.h"
 #include "scheduler/route_table.h"
 #include "scheduler/run_end_proof.h"
 #include "scheduler/run_time_model.h"
@@ -46,11 +48,12 @@
  private:
   struct refusal {
     job_errc code = job_errc::kOverloaded;
-    milliseconds retry_after{0};
     // Predictions for the worker with the earliest end, if workers were
     // compared.
     microseconds wait{0};
     microseconds run{0};
+    // Earliest end of the whole job, relative to now.
+    microseconds predicted_end{0};
   };
   // An evacuated domain to look up among those of the agents.
   struct domain_check {
@@ -83,14 +86,9 @@
   // ---- job_scheduler_jobs.cc: from submission to answer --------------------
   scheduled_job* FindJob(std::string_view host, std::string_view path);
   bool AttachCaller(const job_submission& event, std::string_view key);
-  std::optional<refusal> CheckContent(const job_submission& event) const;
-  std::optional<refusal> CheckCapacity(const scheduled_job& job) const;
   std::unique_ptr<scheduled_job> MakeJob(job_submission& event,
                                          const route_match& route) const;
   void Accept(std::unique_ptr<scheduled_job> accepted);
-  void Refuse(const job_submission& event,
-              std::string_view job_key,
-              const refusal& reason);
   void CompleteTask(scheduled_job& job, std::uint32_t task);
   void EnqueueTask(scheduled_job& job, std::uint32_t task);
   void UnblockSteps(scheduled_job& job);
@@ -102,6 +100,22 @@
   void CacheAnswer(const scheduled_job& job, job_state state, job_errc code);
   void ExpireDeadlines();
 
+  // ---- job_scheduler_admission.cc: whether a job is accepted ----------------
+  std::optional<refusal> CheckContent(const job_submission& event) const;
+  std::vector<step_place> FindPlaces(const scheduled_job& job,
+                                     const scheduled_step& step) const;
+  std::optional<refusal> CheckCapacity(const scheduled_job& job);
+  // Returns the retry delay of a refusal, reports it to the metrics and adds
+  // what decided to the fields of the record.
+  milliseconds DecideRetry(std::string_view kind,
+                           std::string_view job_key,
+                           job_errc code,
+                           std::vector<event_field>& fields);
+  void Refuse(const job_submission& event,
+              std::string_view kind,
+              std::string_view job_key,
+              const refusal& reason);
+
   // ---- job_scheduler_agents.cc: sessions and reports -----------------------
   void OnHeartbeat(wire::agent_beat& message, worker_view& view);
   void OnReport(wire::run_report& message, worker_view& view);
@@ -179,6 +193,8 @@
   run_time_model run_times_;
   evacuation_map evacuations_;
   std::deque<domain_check> domain_checks_;  // Ordered by time.
+  retry_delay retry_delay_;
+  job_admission admission_;
 
   // Views are never removed, so that tasks can point to them; there is one for
   // each agent that ever connected.
