--- a/src/soak/faults.cc
+++ b/src/soak/faults.cc
@@ -10,10 +10,11 @@
 constexpr milliseconds kFirstFaultDelay{1500};
 constexpr int kMinFaultIntervalMs = 50;
 constexpr int kMaxFaultIntervalMs = 900;
+constexpr milliseconds kMaxAnswerDelay{90};
 
 }  // namespace
 
-const std::array<fault_injector::fault_kind, 26> fault_injector::kFaultKinds{{
+const std::array<fault_injector::fault_kind, 27> fault_injector::kFaultKinds{{
     fault_kind{"kill_entry", &fault_injector::KillEntry},
     fault_kind{"kill_agent", &fault_injector::KillAgent},
     fault_kind{"restart_entry", &fault_injector::RestartEntry},
@@ -40,6 +41,7 @@
     fault_kind{"fail_runs", &fault_injector::FailRuns},
     fault_kind{"slow_worker", &fault_injector::SlowWorker},
     fault_kind{"stall_worker", &fault_injector::StallWorker},
+    fault_kind{"slow_worker_calls", &fault_injector::SlowWorkerCalls},
 }};
 
 fault_injector::fault_injector(deployment& system,
@@ -305,4 +307,12 @@
   SetWorkerFaults(PickWorker(), {.stalled = true}, now);
 }
 
+// All workers at once, so that a task that one agent returns finds no faster
+// worker at another one.
+void fault_injector::SlowWorkerCalls(monotonic_time now) {
+  const int workers = static_cast<int>(system_.agents().size());
+  for (int worker = 0; worker < workers; ++worker)
+    SetWorkerFaults(worker, {.max_answer_delay = kMaxAnswerDelay}, now);
+}
+
 }  // namespace egretrack::soak
