Learn the time limits of worker calls

An agent gave start and stop calls 20 ms, and polls their wait and 20 ms. A worker that answers after 0 to 90 ms lost a large part of its runs. The run supervisor now learns the limit from measured calls. Silence of a worker, the bound of an unanswered stop and the lease are as before.

--- a/src/include/egretrack/scheduler/run_supervisor.h
+++ b/src/include/egretrack/scheduler/run_supervisor.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <variant>
 #include <vector>
 
@@ -81,11 +82,14 @@
   worker_call_result result = worker_call_result::kUnanswered;
   std::optional<milliseconds> worker_clock;  // If kAccepted.
   std::string failure;  // Of a call without an answer, for the log.
+  // From the call to its outcome; nullopt if not measured.
+  std::optional<microseconds> call_time = std::nullopt;
 };
 struct stop_answered {
   run_id id;
   worker_call_result result = worker_call_result::kUnanswered;
   std::string failure;
+  std::optional<microseconds> call_time = std::nullopt;
 };
 
 struct running_row {
@@ -105,6 +109,7 @@
   std::vector<running_row> running;
   std::vector<ended_row> ended;
   std::string failure;
+  std::optional<microseconds> call_time = std::nullopt;  // With the wait.
 };
 
 // Entries that the agent may connect to, read from the settings or the store.
@@ -151,10 +156,13 @@
   run_id id;
   std::string spec;
   milliseconds lease_until{0};  // On the worker's clock.
+  // The call is unanswered if it has no answer after this time.
+  milliseconds time_limit{0};
 };
 struct stop_run {
   worker_call_target target;
   run_id id;
+  milliseconds time_limit{0};
 };
 // Long poll of the worker. Lists the running and ended runs, renews the lease
 // unless `lease_until` is 0, and acknowledges ended runs up to sequence
@@ -165,6 +173,7 @@
   std::uint64_t last_end_seen = 0;
   milliseconds lease_until{0};
   milliseconds wait{0};
+  milliseconds time_limit{0};  // In addition to `wait`.
 };
 
 // Stores the worker's report for the next incarnation of the agent.
@@ -174,6 +183,13 @@
 
 struct agent_drain_finished {};
 
+// The worker has answered a call of kind `call`, for example "poll". Without
+// the wait of a poll.
+struct worker_call_measured {
+  std::string_view call;
+  microseconds time{0};
+};
+
 using supervisor_command = std::variant<open_link,
                                         close_link,
                                         send_to_entry,
@@ -182,7 +198,8 @@
                                         poll_worker,
                                         store_worker,
                                         decision_record,
-                                        agent_drain_finished>;
+                                        agent_drain_finished,
+                                        worker_call_measured>;
 
 // ---- The core -------------------------------------------------------------
 
@@ -242,6 +259,7 @@
   std::size_t entries = 0;
   resources free;
   bool has_worker = false;
+  milliseconds call_limit{0};  // Of the next call to the worker.
 };
 
 // Performs no I/O, reads no clock and starts no thread. Owned by the control
--- a/src/job_agent/job_agent_control.cc
+++ b/src/job_agent/job_agent_control.cc
@@ -173,6 +173,8 @@
   gauge("egretrack_free_cpu_millicores",
         static_cast<double>(gauges.free.cpu_milli));
   gauge("egretrack_has_worker", gauges.has_worker ? 1 : 0);
+  gauge("egretrack_worker_call_limit_seconds",
+        std::chrono::duration<double>(gauges.call_limit).count());
   telemetry::SetProcessUsage(*metrics_);
   event.exchange->Respond({kOk,
                            {{"Content-Type", "text/plain; version=0.0.4"}},
@@ -187,7 +189,8 @@
       &job_agent_control::CloseLink, &job_agent_control::SendToEntry,
       &job_agent_control::StartRun, &job_agent_control::StopRun,
       &job_agent_control::PollWorker, &job_agent_control::StoreWorker,
-      &job_agent_control::LogDecision, &job_agent_control::FinishDrain>;
+      &job_agent_control::LogDecision, &job_agent_control::FinishDrain,
+      &job_agent_control::ObserveCall>;
   for (scheduler::supervisor_command& command : commands_)
     table::Call(*this, command, now);
   commands_.clear();
@@ -255,6 +258,13 @@
   dependencies_.on_drained();
 }
 
+void job_agent_control::ObserveCall(scheduler::worker_call_measured& command,
+                                    monotonic_time& /*now*/) {
+  metrics_->ObserveDuration("egretrack_worker_call_seconds",
+                            "call=\"" + std::string(command.call) + "\"",
+                            command.time);
+}
+
 void job_agent_control::LogEvent(std::string_view event,
                                  bool explains_failure,
                                  std::vector<event_field> fields,
--- a/src/job_agent/job_agent_control.h
+++ b/src/job_agent/job_agent_control.h
@@ -104,6 +104,8 @@
   void FinishDrain(scheduler::agent_drain_finished& command,
                    monotonic_time& now);
   void PerformCommands(monotonic_time now);
+  void ObserveCall(scheduler::worker_call_measured& command,
+                   monotonic_time& now);
   void LogEvent(std::string_view event,
                 bool explains_failure,
                 std::vector<event_field> fields,
--- a/src/job_agent/worker_client.h
+++ b/src/job_agent/worker_client.h
@@ -23,11 +23,15 @@
   void Poll(const scheduler::poll_worker& command);
 
  private:
+  // Makes an event of a reply and the time that the call took.
+  using outcome_decoder =
+      std::function<scheduler::supervisor_event(const net::http_reply& reply,
+                                                microseconds call_time)>;
+
   void Call(const scheduler::worker_call_target& target,
             net::http_request request,
             milliseconds timeout,
-            std::function<scheduler::supervisor_event(const net::http_reply&)>
-                decode);
+            outcome_decoder decode);
 
   const event_sink on_event_;
   const std::unique_ptr<net::http_client> client_;
--- a/src/scheduler/run_supervisor.cc
+++ b/src/scheduler/run_supervisor.cc
@@ -16,6 +16,13 @@
 // back by an hour costs a dozen refusals.
 constexpr std::uint64_t kInitialFenceStep = 1000;
 
+// Longest time limit of a call. A stop without an answer for `stop_timeout`
+// ends the renewal of the lease, so that a longer wait gains nothing; and a
+// lost renewal has to be repeated within the lease.
+milliseconds LongestCall(const supervisor_options& options) {
+  return std::min(options.stop_timeout, options.lease / 2);
+}
+
 }  // namespace
 
 bool IsSameWorker(const worker_report& a, const worker_report& b) {
@@ -47,6 +54,7 @@
 run_supervisor_impl::run_supervisor_impl(supervisor_options options)
     : options_(std::move(options)),
       lease_(options_.lease, options_.longest_lease, options_.clock_drift),
+      call_limit_(LongestCall(options_)),
       fence_(options_.first_fence),
       fence_step_(kInitialFenceStep) {}
 
@@ -285,6 +293,7 @@
       }));
   gauges.has_worker = worker_ && worker_->described;
   gauges.free = FreeResources();
+  gauges.call_limit = call_limit_.limit();
   return gauges;
 }
 
--- a/src/scheduler/run_supervisor_impl.h
+++ b/src/scheduler/run_supervisor_impl.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "egretrack/scheduler/run_supervisor.h"
+#include "scheduler/call_time_limit.h"
 #include "scheduler/entry_link.h"
 #include "scheduler/run_end_proof.h"
 #include "scheduler/run_table.h"
@@ -129,7 +130,6 @@
   // ---- run_supervisor_worker.cc: starts, stops, worker incarnations --------
   void StartRuns();
   void SendStart(agent_run& run);
-  void SendStops();
   void StopRun(agent_run& run, wire::run_reason reason);
   void RefuseRun(std::uint64_t key,
                  wire::run_reason reason,
@@ -161,7 +161,22 @@
   // Raises the fencing token if it is the one that the worker refused.
   void RaiseFence(std::uint64_t refused);
   void CheckWorker();
+
+  // ---- run_supervisor_calls.cc: stop calls, time limits of calls ------------
   worker_call_target CallTarget() const;
+  void SendStops();
+  // Time limit of a start call for the run.
+  milliseconds StartLimit(const agent_run& run) const;
+  // Sets the time limit of the poll, and may shorten its wait, so that a worker
+  // that answers nothing is silent in time.
+  void LimitPoll(poll_worker& poll) const;
+  // `time` is without the wait of a poll.
+  void LearnCallTime(std::string_view call,
+                     worker_call_result result,
+                     std::optional<microseconds> time,
+                     milliseconds limit);
+  // Time of the poll in flight that counts, or nullopt if it is unknown.
+  std::optional<microseconds> PollTime(const poll_answered& event) const;
 
   // ---- run_supervisor_polls.cc: polls of the worker's runs -----------------
   void PollWorker();
@@ -184,6 +199,7 @@
   std::optional<worker_state> worker_;
   std::optional<reported_successor> successor_;
   worker_lease lease_;
+  call_time_limit call_limit_;
   std::uint64_t fence_;
   std::uint64_t fence_step_;
   // Started by an earlier incarnation; to be stopped.
@@ -193,6 +209,8 @@
   monotonic_time poll_sent_at_{};
   std::uint64_t poll_fence_ = 0;
   std::uint64_t poll_last_end_seen_ = 0;  // Acknowledged by the poll in flight.
+  milliseconds poll_wait_{0};             // Of the poll in flight.
+  milliseconds poll_limit_{0};            // Without the wait.
   monotonic_time next_poll_{};
   std::uint32_t unanswered_polls_ = 0;  // Consecutive.
   monotonic_time first_unanswered_poll_{};
--- a/src/scheduler/run_supervisor_polls.cc
+++ b/src/scheduler/run_supervisor_polls.cc
@@ -14,6 +14,10 @@
 // several polls may go unanswered without a fault.
 constexpr std::uint32_t kMaxUnansweredPolls = 4;
 constexpr milliseconds kWorkerSilenceTimeout{250};
+// Time by which the last of kMaxUnansweredPolls polls has its outcome, so that
+// long time limits do not delay the silence. Four polls with a wait of 30 ms, a
+// limit of 20 ms and kPollRetryDelay between them take as long.
+constexpr milliseconds kUnansweredPollsBound{260};
 // Poll interval while a stopped run has not ended yet.
 constexpr milliseconds kStopPollInterval{30};
 // Delay after a failed poll. Longer for a silent worker, as each attempt may
@@ -82,14 +86,41 @@
     poll.lease_until = lease_.Renew(now_);
     poll.wait = stopping ? kStopPollInterval : options_.renew_interval;
   }
+  LimitPoll(poll);
   poll_in_flight_ = true;
+  poll_wait_ = poll.wait;
+  poll_limit_ = poll.time_limit;
   poll_sent_at_ = now_;
   poll_fence_ = poll.target.fence;
   poll_last_end_seen_ = poll.last_end_seen;
   commands_->emplace_back(std::move(poll));
 }
 
+// The first poll may use the time that the others do not need at the least. A
+// poll after an unanswered one does not wait, which leaves more time for the
+// answer.
+void run_supervisor_impl::LimitPoll(poll_worker& poll) const {
+  poll.time_limit = call_limit_.limit();
+  if (worker_silent_)
+    return;
+  monotonic_time first = now_;
+  if (unanswered_polls_ > 0) {
+    first = first_unanswered_poll_;
+    poll.wait = milliseconds(0);
+  }
+  const std::uint32_t made = unanswered_polls_ + 1;
+  const std::uint32_t later =
+      kMaxUnansweredPolls - std::min(made, kMaxUnansweredPolls);
+  const monotonic_time end =
+      first + kUnansweredPollsBound -
+      later * (kPollRetryDelay + call_time_limit::kShortest);
+  const auto left = std::chrono::floor<milliseconds>(end - now_) - poll.wait;
+  poll.time_limit =
+      std::max(std::min(poll.time_limit, left), call_time_limit::kShortest);
+}
+
 void run_supervisor_impl::OnPollAnswered(poll_answered& event) {
+  LearnCallTime("poll", event.result, PollTime(event), poll_limit_);
   poll_in_flight_ = false;
   next_poll_ = now_;
   if (!worker_)
@@ -219,7 +250,7 @@
       CheckProgress(found->second, row);
   }
   for (const run_id& id : orphaned)
-    commands_->emplace_back(stop_run{CallTarget(), id});
+    commands_->emplace_back(stop_run{CallTarget(), id, call_limit_.limit()});
   orphaned_runs_ = std::move(orphaned);
 
   EndProvenRuns(listed_run{.polled_at = poll_sent_at_, .fence = poll_fence_},
--- a/src/scheduler/run_supervisor_worker.cc
+++ b/src/scheduler/run_supervisor_worker.cc
@@ -17,15 +17,9 @@
 // Larger than the number of attempts that another entry may have made for the
 // same task.
 constexpr std::uint32_t kRenumberStep = 16;
-// Delay between two stop calls for a run.
-constexpr milliseconds kStopRetryDelay{50};
 
 }  // namespace
 
-worker_call_target run_supervisor_impl::CallTarget() const {
-  return {worker_->report.address, worker_->report.id, fence_};
-}
-
 // ---- Starts ---------------------------------------------------------------
 
 void run_supervisor_impl::StartRuns() {
@@ -60,8 +54,9 @@
   run.at_current_incarnation = false;
   run.lease_confirmed = false;
   run.lease_until = lease_.Renew(now_);
-  commands_->emplace_back(
-      start_run{CallTarget(), run.id, run.spec, run.lease_until});
+  run.start_limit = StartLimit(run);
+  commands_->emplace_back(start_run{CallTarget(), run.id, run.spec,
+                                    run.lease_until, run.start_limit});
 }
 
 void run_supervisor_impl::ConfirmStart(agent_run& run) {
@@ -83,6 +78,7 @@
   if (found == nullptr)
     return;
   agent_run& run = found->second;
+  LearnCallTime("start", event.result, event.call_time, run.start_limit);
   run.start_resolved = now_;
   run.lease_confirmed =
       event.worker_clock && lease_.Covers(run.lease_until, *event.worker_clock);
@@ -109,7 +105,8 @@
                  {{"task", std::int64_t{run.task}},
                   {"resends", std::int64_t{run.resends}},
                   {"error", std::string(failure)},
-                  {"age_us", (now_ - run.started).count()}});
+                  {"age_us", (now_ - run.started).count()},
+                  {"limit_us", microseconds(run.start_limit).count()}});
   if (++run.resends <= kMaxResends && MayExtendLease())
     return SendStart(run);
   StopRun(run, wire::run_reason::kUnanswered);
@@ -193,43 +190,6 @@
   SendStops();
 }
 
-// Stops do not count towards max_starts_in_flight, because they free resources
-// and prevent two concurrent runs of one task.
-void run_supervisor_impl::SendStops() {
-  if (!worker_)
-    return;
-  for (auto& [key, run] : runs_.all()) {
-    const bool due = run.lifecycle.phase() == run_phase::kStopping &&
-                     !run.stop_accepted && !run.stop_in_flight &&
-                     now_ >= run.next_stop_call;
-    if (!due)
-      continue;
-    run.stop_in_flight = true;
-    run.stop_fence = fence_;
-    commands_->emplace_back(stop_run{CallTarget(), run.id});
-  }
-}
-
-void run_supervisor_impl::OnStopAnswered(stop_answered& event) {
-  auto* found = runs_.FindAtWorker(event.id);
-  if (found == nullptr ||
-      found->second.lifecycle.phase() != run_phase::kStopping)
-    return;
-  agent_run& run = found->second;
-  run.stop_in_flight = false;
-  if (event.result == worker_call_result::kUnreachable)
-    MarkWorkerSilent("stop", event.failure);
-  if (event.result != worker_call_result::kAccepted) {
-    if (event.result == worker_call_result::kFenced)
-      RaiseFence(run.stop_fence);
-    run.next_stop_call = now_ + kStopRetryDelay;
-    return SchedulePoll();
-  }
-  run.stop_accepted = true;
-  run.stop_accepted_at = now_;
-  SchedulePoll();
-}
-
 // ---- Ends -----------------------------------------------------------------
 
 run_evidence run_supervisor_impl::EvidenceOf(const agent_run& run) const {
--- a/src/scheduler/run_table.h
+++ b/src/scheduler/run_table.h
@@ -37,6 +37,7 @@
   // When the last start call was answered or given up.
   monotonic_time start_resolved = monotonic_time::max();
   milliseconds lease_until{0};  // Requested by the last start call.
+  milliseconds start_limit{0};  // Time limit of the last start call.
   // The worker's answer to the start call shows that the run's lease ends with
   // that of the incarnation that the agent follows.
   bool lease_confirmed = false;
@@ -49,6 +50,7 @@
   monotonic_time last_progress{};
   bool stop_in_flight = false;
   std::uint64_t stop_fence = 0;  // Token of the last stop call.
+  milliseconds stop_limit{0};    // Time limit of the last stop call.
   bool stop_accepted = false;
   monotonic_time stop_requested{};
   monotonic_time next_stop_call{};
--- a/src/scheduler/tests/system_model.cc
+++ b/src/scheduler/tests/system_model.cc
@@ -14,8 +14,7 @@
 constexpr std::size_t kAgents = 3;
 constexpr std::size_t kJobs = 14;
 constexpr std::uint32_t kTasksPerJob = 3;
-constexpr milliseconds kCallTimeout{20};
-constexpr milliseconds kPollMargin{20};
+constexpr milliseconds kSlowestAnswer{90};
 constexpr milliseconds kResendDelay{1300};
 constexpr milliseconds kLongestLease{1000};
 constexpr milliseconds kStopTime{50};
@@ -101,6 +100,7 @@
   monotonic_time cut_until{};
   monotonic_time slow_until{};
   double late_share = 0;  // Of calls while slow.
+  monotonic_time slow_answers_until{};
 };
 
 struct system_model::worker_call {
@@ -119,6 +119,9 @@
   bool resolved = false;             // The agent has its outcome.
   bool answer_lost = false;
   monotonic_time poll_deadline{};
+  milliseconds time_limit{0};  // In addition to `wait`.
+  monotonic_time sent{};
+  milliseconds slowest_answer{1};
 };
 
 struct system_model::job {
@@ -307,17 +310,20 @@
     call.id = start->id;
     call.spec = start->spec;
     call.lease_until = start->lease_until;
+    call.time_limit = start->time_limit;
     CallWorker(index, std::move(call));
   } else if (auto* stop = std::get_if<stop_run>(&command)) {
     call.type = worker_call::kind::kStop;
     call.target = stop->target;
     call.id = stop->id;
+    call.time_limit = stop->time_limit;
     CallWorker(index, std::move(call));
   } else if (auto* poll = std::get_if<poll_worker>(&command)) {
     call.target = poll->target;
     call.lease_until = poll->lease_until;
     call.wait = poll->wait;
     call.last_end_seen = poll->last_end_seen;
+    call.time_limit = poll->time_limit;
     CallWorker(index, std::move(call));
   }
 }
@@ -418,6 +424,7 @@
   auto call = std::make_shared<worker_call>(std::move(values));
   call->agent = from;
   call->agent_process = agents_[from]->process;
+  call->sent = now_;
   for (std::size_t index = 0; index < kAgents; ++index) {
     if (WorkerAddress(index) == call->target.address)
       call->worker = index;
@@ -432,6 +439,8 @@
   }
   const worker& target = *workers_[call->worker];
   call->worker_process = target.process->process;
+  if (now_ < target.slow_answers_until)
+    call->slowest_answer = kSlowestAnswer;
   microseconds delay = RandomTime(milliseconds(0), milliseconds(1));
   if (now_ < target.slow_until) {
     if (Draw(target.late_share))
@@ -439,9 +448,7 @@
     call->answer_lost = Draw(target.late_share);
   }
   At(delay, [this, call] { ExecuteCall(call); });
-  At(kCallTimeout + call->wait +
-         (call->type == worker_call::kind::kPoll ? kPollMargin - kCallTimeout
-                                                 : milliseconds(0)),
+  At(call->wait + call->time_limit,
      [this, call] { FailCall(call, worker_call_result::kUnanswered); });
 }
 
@@ -465,6 +472,12 @@
       agents_[call->agent]->process != call->agent_process) {
     return;
   }
+  std::visit(
+      [&](auto& event) {
+        if constexpr (requires { event.call_time; })
+          event.call_time = now_ - call->sent;
+      },
+      answer);
   HandleAgent(call->agent, std::move(answer));
 }
 
@@ -477,7 +490,7 @@
   const auto answer = [&](worker_call_result result) {
     if (call->answer_lost)
       return;
-    At(RandomTime(milliseconds(0), milliseconds(1)),
+    At(RandomTime(milliseconds(0), call->slowest_answer),
        [this, call, result] { FailCall(call, result); });
   };
   if (call->target.worker != process.id)
@@ -512,7 +525,7 @@
   const worker_call_result result = StartRun(process, *call);
   if (result != worker_call_result::kAccepted || call->answer_lost)
     return answer(result);
-  At(RandomTime(milliseconds(0), milliseconds(1)), [this, call, clock] {
+  At(RandomTime(milliseconds(0), call->slowest_answer), [this, call, clock] {
     AnswerCall(call, start_answered{
                          call->id, worker_call_result::kAccepted, clock, {}});
   });
@@ -579,7 +592,7 @@
                                           std::min<std::int64_t>(share, 99))});
   }
   answer.ended = process.ended;
-  At(RandomTime(milliseconds(0), milliseconds(1)),
+  At(RandomTime(milliseconds(0), call->slowest_answer),
      [this, call, answer] { AnswerCall(call, answer); });
 }
 
@@ -766,6 +779,9 @@
         ++link.transport;
         link.last_to_entry = now_ + fault.duration / 4;
         return;
+      case model_fault_kind::kSlowAnswers:
+        target.slow_answers_until = now_ + fault.duration;
+        return;
       case model_fault_kind::kCount:
         return;
     }
--- a/src/scheduler/tests/system_model.h
+++ b/src/scheduler/tests/system_model.h
@@ -27,6 +27,7 @@
   kDeregister,     // Sent by another process.
   kCutLink,        // Frames between an entry and an agent are lost.
   kReconnectLink,  // By the transport; frames on the way arrive late.
+  kSlowAnswers,  // Calls take effect at once and are answered 0 to 90 ms late.
   kCount,
 };
 
