Test repeated starts, and the lease of long runs, at a slow worker

The run in the lease test ended before its entry was silent, so that a renewal while a stop is in flight went unnoticed there. The model's birth times are computed in the type that they have, as the lint of the file asks.

--- a/src/scheduler/tests/system_model.cc
+++ b/src/scheduler/tests/system_model.cc
@@ -728,7 +728,8 @@
     odd.id = fault.target % 2 == 0 ? "odd"
                                    : "w" + std::to_string(index) + "-" +
                                          std::to_string(target.ids);
-    odd.worker_incarnation = kFirstBirth + 2'000'000 * (fault.target % 3);
+    odd.worker_incarnation =
+        kFirstBirth + std::int64_t{2'000'000} * (fault.target % 3);
     odd.desk = "unknown";
     odd.address = fault.target % 5 == 0 ? WorkerAddress(index) : "10.0.0.99:8";
     odd.capacity = {16000, 32768, 0};
--- a/src/scheduler/tests/worker_calls_test.cc
+++ b/src/scheduler/tests/worker_calls_test.cc
@@ -17,7 +17,6 @@
 using wire::run_end;
 
 constexpr milliseconds kStep{1};
-constexpr milliseconds kRunTime{300};
 constexpr milliseconds kStopTime{30};
 
 // A worker whose calls take effect at once and are answered after a time that
@@ -65,6 +64,7 @@
   std::mt19937_64 random;
   answer_time answer_after = [] { return milliseconds(1); };
   bool answers_stops = true;
+  milliseconds run_time{300};
   std::uint32_t last_task = 0;
   std::vector<milliseconds> limits;  // Of all calls.
 
@@ -116,7 +116,7 @@
   }
 
   void OnStart(const start_run& start) {
-    ends_.try_emplace(start.id, driver.now + kRunTime);
+    ends_.try_emplace(start.id, driver.now + run_time);
     Await({}, start.time_limit, true, [this, id = start.id](outcome made) {
       start_answered answer{id, worker_call_result::kUnanswered, {}, {}};
       answer.call_time = made.call_time;
@@ -167,7 +167,7 @@
   }
 
   std::uint32_t Percent(monotonic_time end) const {
-    const auto share = 100 - 100 * (end - driver.now) / kRunTime;
+    const auto share = 100 - 100 * (end - driver.now) / run_time;
     return static_cast<std::uint32_t>(std::clamp<std::int64_t>(share, 0, 99));
   }
 
@@ -282,6 +282,7 @@
     worker.AnswerWithin(milliseconds(slowest_answer_ms));
     RunTasks(worker, seconds(2));
     worker.answers_stops = false;
+    worker.run_time = seconds(5);
     supervisor_driver& driver = worker.driver;
     driver.AnswerHeartbeats();
     const monotonic_time last_alive = driver.now;
@@ -301,6 +302,23 @@
   }
 }
 
+// Guards against a run that is stopped because the repetition of its start has
+// the limit of a fast worker, too.
+TEST(WorkerCalls, RepeatsStartWithTheLongestLimit) {
+  simulated_worker worker;
+  RunTasks(worker, seconds(1));
+  worker.answer_after = [] { return milliseconds(90); };
+  worker.driver.Dispatch(999);
+  worker.Run(milliseconds(200));
+  const auto starts = worker.driver.Commands<start_run>();
+  ASSERT_GE(starts.size(), 2U);
+  EXPECT_EQ(starts[starts.size() - 2].time_limit, milliseconds(20));
+  EXPECT_EQ(starts.back().id, starts[starts.size() - 2].id);
+  EXPECT_EQ(starts.back().time_limit,
+            supervisor_driver::Options().stop_timeout);
+  EXPECT_EQ(worker.driver.core->counters().stops, 0U);
+}
+
 // Guards against limits that the lease and the stop bound do not allow, also
 // where the deployment shortens both.
 TEST(WorkerCalls, LimitsStayWithinLeaseAndStopBound) {
