Decide how long a task waits for a worker near its data

A task with an affinity label was placed by the earliest end with a fixed factor for far workers, and its far runs were learned as if the worker were slow. DecideLocality() now compares the best near with the best far worker, and the queue bound is the time for which the wait pays. locality_model learns the factor from far runs, apart from the run time model.

--- a/src/include/egretrack/scheduler/job_scheduler.h
+++ b/src/include/egretrack/scheduler/job_scheduler.h
@@ -3,6 +3,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -179,8 +181,9 @@
   // Time after which a draining entry stops and answers unfinished jobs.
   milliseconds drain_end{5300};
   milliseconds answer_retention{10000};  // For jobs that are resubmitted.
-  // Run time factor on a worker without the task's affinity label.
-  double affinity_miss_factor = 1.5;
+  // First guess of the run time factor on a worker without the task's affinity
+  // label; at least 1.
+  double far_run_time_factor = 1.5;
 };
 
 struct scheduler_counters {
@@ -198,6 +201,23 @@
   std::uint64_t ejections = 0;
 };
 
+// Tasks of one request kind that have an affinity label.
+struct locality_counters {
+  std::uint64_t near_dispatches = 0;
+  std::uint64_t near_waits = 0;  // Of the near dispatches, to a full worker.
+  std::uint64_t far_dispatches = 0;
+  std::uint64_t near_returns = 0;  // From the queue of a near worker.
+  std::uint64_t near_runs = 0;     // That ended with a result.
+  std::uint64_t far_runs = 0;
+  // Time by which waits ended tasks earlier than far starts, by the
+  // predictions at the dispatch and as measured. A wait that ended without a
+  // run is a measured loss.
+  microseconds predicted_gain{0};
+  microseconds measured_gain{0};
+};
+using locality_counters_by_kind =
+    std::map<std::string, locality_counters, std::less<>>;
+
 struct scheduler_gauges {
   std::size_t jobs = 0;
   std::size_t tasks_outstanding = 0;
@@ -226,6 +246,7 @@
 
   virtual const scheduler_counters& counters() const = 0;
   virtual scheduler_gauges gauges() const = 0;
+  virtual const locality_counters_by_kind& locality() const = 0;
   // True while the entry can serve new callers.
   virtual bool ready() const = 0;
 };
--- a/src/scheduler/job_scheduler.cc
+++ b/src/scheduler/job_scheduler.cc
@@ -28,7 +28,8 @@
                      options.lost_run_timeout > options.agent_silence &&
                      options.idle_agent_silence >= options.agent_silence &&
                      options.drain_bound >= options.drain_grace &&
-                     options.drain_end >= options.drain_bound;
+                     options.drain_end >= options.drain_bound &&
+                     options.far_run_time_factor >= 1;
   if (!valid)
     return MakeError(errc::kInvalidArgument,
                      "job scheduler option out of range");
@@ -36,7 +37,9 @@
 }
 
 job_scheduler_impl::job_scheduler_impl(scheduler_options options)
-    : options_(std::move(options)) {}
+    : options_(std::move(options)),
+      locality_model_(options_.far_run_time_factor),
+      reluctances_(options_.entry) {}
 
 void job_scheduler_impl::BeginCall(monotonic_time now,
                                    std::vector<scheduler_command>& commands) {
--- a/src/scheduler/job_scheduler_agents.cc
+++ b/src/scheduler/job_scheduler_agents.cc
@@ -275,8 +275,7 @@
   worker_view& view = *done.agent;
   EndDispatch(job, task);
   view.refusals.RecordStart(now_);
-  run_times_.Observe(job.kind->name, view.machine_class(), view.agent(),
-                     job.steps[done.step].estimate, report.ran);
+  ObserveRunTime(job, done, report);
   if (view.health.ejected())
     RecordDecision(decision_kind::kAgentReadmitted, "",
                    {{"agent", view.agent()}});
@@ -348,6 +347,7 @@
                   {"reason", std::string(wire::Name(report.reason))},
                   {"agent", view.agent()},
                   {"queued_us", report.queued.count()}});
+  RecordNearReturn(job, task, report);
   EndDispatch(job, task);
   returned.avoided_agent = &view;
   if (report.reason == wire::run_reason::kWorkerRefused)
--- a/src/scheduler/job_scheduler_dispatch.cc
+++ b/src/scheduler/job_scheduler_dispatch.cc
@@ -15,9 +15,6 @@
 constexpr double kMarginSlackShare = 1.0 / 16;
 constexpr milliseconds kMinMargin{5};
 constexpr milliseconds kMaxMargin{100};
-// Share of the predicted run time that must remain until the deadline when a
-// task starts.
-constexpr double kStartByShare = 0.5;
 
 microseconds QueueBound(const placement_candidate& chosen,
                         microseconds time_to_target) {
@@ -69,7 +66,10 @@
       job.kind->name, view.machine_class(), view.agent(), step.estimate);
   const std::string& affinity = step.spec.affinity_label;
   const bool misses_affinity = !affinity.empty() && !view.HasLabel(affinity);
-  return misses_affinity ? Scale(run, options_.affinity_miss_factor) : run;
+  if (!misses_affinity)
+    return run;
+  return Scale(run,
+               locality_model_.FarFactor(job.kind->name, view.machine_class()));
 }
 
 std::vector<placement_candidate> job_scheduler_impl::FindCandidates(
@@ -90,6 +90,12 @@
     candidate.preferred = view.preferred;
     candidate.same_domain = view.failure_domain == options_.failure_domain;
     candidate.free_cpu_milli = view.FreeResources().cpu_milli;
+    const std::string& affinity = step.spec.affinity_label;
+    if (!affinity.empty()) {
+      candidate.far = !view.HasLabel(affinity);
+      candidate.wait = std::max(
+          candidate.wait, view.PredictRoomWait(step.spec.need, candidate.run));
+    }
     candidates.push_back(candidate);
   }
   // The agent on which the last attempt did not succeed is the last choice.
@@ -115,7 +121,9 @@
 
 bool job_scheduler_impl::DispatchTask(scheduled_job& job, std::uint32_t task) {
   const auto candidates = FindCandidates(job, task);
-  const auto chosen = ChoosePlacement(candidates);
+  const auto placed = PlaceByLocality(job, task, candidates);
+  const auto chosen =
+      placed ? std::optional(placed->chosen) : ChoosePlacement(candidates);
   if (!chosen)
     return false;
   scheduled_task& state = job.tasks[task];
@@ -139,16 +147,24 @@
   ++counters_.dispatches;
   if (!job.first_dispatch)
     job.first_dispatch = now_;
-  RecordDecision(
-      decision_kind::kTaskDispatched, job.job_key,
-      {{"task", std::int64_t{task}},
-       {"attempt", std::int64_t{state.attempt}},
-       {"agent", view.agent()},
-       {"wait_us", chosen->wait.count()},
-       {"run_us", chosen->run.count()},
-       {"free_cpu_milli", chosen->free_cpu_milli},
-       {"view_age_us", (now_ - view.last_contact).count()},
-       {"candidates", static_cast<std::int64_t>(candidates.size())}});
+  microseconds queue_bound = QueueBound(*chosen, job.target - now_);
+  if (placed) {
+    queue_bound = std::max<microseconds>(
+        QueueBoundByPlan(placed->plan, queue_bound), kMinMargin);
+  }
+  std::vector<event_field> fields{
+      {"task", std::int64_t{task}},
+      {"attempt", std::int64_t{state.attempt}},
+      {"agent", view.agent()},
+      {"wait_us", chosen->wait.count()},
+      {"run_us", chosen->run.count()},
+      {"free_cpu_milli", chosen->free_cpu_milli},
+      {"view_age_us", (now_ - view.last_contact).count()},
+      {"candidates", static_cast<std::int64_t>(candidates.size())}};
+  if (!step.spec.affinity_label.empty())
+    RecordLocalityDispatch(job, task, *chosen, placed, queue_bound, fields);
+  RecordDecision(decision_kind::kTaskDispatched, job.job_key,
+                 std::move(fields));
 
   wire::run_dispatch dispatch;
   dispatch.job = job.number;
@@ -163,7 +179,7 @@
   dispatch.start_by = job.deadline - Scale(chosen->run, kStartByShare);
   dispatch.target = job.target - now_;
   dispatch.virtual_deadline = dispatch.target;
-  dispatch.queue_bound = QueueBound(*chosen, dispatch.target);
+  dispatch.queue_bound = queue_bound;
   view.RecordDispatch(step.spec.need);
   view.outgoing.emplace_back(std::move(dispatch));
   return true;
@@ -175,12 +191,7 @@
     if (task.phase != task_phase::kOutstanding)
       continue;
     worker_view& view = *task.agent;
-    const microseconds age = now_ - task.dispatched_at;
-    if (age > task.predicted_run_time) {
-      run_times_.ObserveLowerBound(job.kind->name, view.machine_class(),
-                                   view.agent(), job.steps[task.step].estimate,
-                                   age);
-    }
+    ObserveStoppedRun(job, task);
     if (task.is_trial)
       view.health.AbandonTrial();
     EndDispatch(job, index);
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
@@ -14,6 +15,8 @@
 #include "decision/entry_drain_lifecycle.h"
 #include "decision/timer_queue.h"
 #include "egretrack/scheduler/job_scheduler.h"
+#include "scheduler/locality_model.h"
+#include "scheduler/locality_wait.h"
 #include "scheduler/placement.h"
 #include "scheduler/route_table.h"
 #include "scheduler/run_end_proof.h"
@@ -36,6 +39,9 @@
                          std::vector<scheduler_command>& commands) override;
   const scheduler_counters& counters() const override { return counters_; }
   scheduler_gauges gauges() const override;
+  const locality_counters_by_kind& locality() const override {
+    return locality_counters_;
+  }
   bool ready() const override;
 
  private:
@@ -47,6 +53,14 @@
     microseconds wait{0};
     microseconds run{0};
   };
+  // Where a task with an affinity label is sent, if there are workers with and
+  // without the label.
+  struct locality_placement {
+    placement_candidate chosen;
+    locality_plan plan;
+    placement_candidate near;
+    placement_candidate far;
+  };
   struct cached_answer {
     job_state state = job_state::kCompleted;
     job_errc code = job_errc::kNotReady;
@@ -139,6 +153,26 @@
   bool DispatchTask(scheduled_job& job, std::uint32_t task);
   void SendFrames();
 
+  // ---- job_scheduler_locality.cc: workers near a task's data ---------------
+  std::optional<locality_placement> PlaceByLocality(
+      scheduled_job& job,
+      std::uint32_t task,
+      std::span<const placement_candidate> candidates);
+  void RecordLocalityDispatch(scheduled_job& job,
+                              std::uint32_t task,
+                              const placement_candidate& chosen,
+                              const std::optional<locality_placement>& placed,
+                              microseconds queue_bound,
+                              std::vector<event_field>& fields);
+  void RecordNearReturn(scheduled_job& job,
+                        std::uint32_t task,
+                        const wire::run_report& report);
+  void ObserveRunTime(const scheduled_job& job,
+                      const scheduled_task& task,
+                      const wire::run_report& report);
+  // Learns from a run that is stopped now.
+  void ObserveStoppedRun(const scheduled_job& job, const scheduled_task& task);
+
   const scheduler_options options_;
   scheduler_counters counters_;
   decision::entry_drain_lifecycle drain_;
@@ -149,6 +183,9 @@
   std::vector<wire::entry_member> members_;
   std::uint64_t members_hash_ = 0;
   run_time_model run_times_;
+  locality_model locality_model_;
+  reluctance_sequence reluctances_;
+  locality_counters_by_kind locality_counters_;
 
   // Views are never removed, so that tasks can point to them; there is one for
   // each agent that ever connected.
--- a/src/scheduler/scheduled_job.h
+++ b/src/scheduler/scheduled_job.h
@@ -18,6 +18,19 @@
   kDone,
 };
 
+// The waits of a task with an affinity label for a near worker.
+struct locality_state {
+  microseconds wait_used{0};  // In queues of near workers that returned it.
+  // As in locality_options; drawn once, so that a task that has waited in vain
+  // does not wait again.
+  std::optional<double> reluctance;
+  // Of the last dispatch.
+  bool far = false;
+  bool waits = false;           // In the queue of a near worker.
+  microseconds queue_bound{0};  // 0 without a label.
+  microseconds far_end{0};      // Predicted end far, from the dispatch.
+};
+
 struct scheduled_task {
   std::uint32_t step = 0;
   std::uint32_t index = 0;
@@ -33,6 +46,7 @@
   bool is_trial = false;       // Tests an ejected worker.
   monotonic_time dispatched_at{};
   microseconds predicted_run_time{0};
+  locality_state locality;
 };
 
 struct scheduled_step {
--- a/src/scheduler/worker_view.cc
+++ b/src/scheduler/worker_view.cc
@@ -84,4 +84,12 @@
   return load_.wait + typical_run_time * excess / worker->capacity.cpu_milli;
 }
 
+microseconds worker_view::PredictRoomWait(const resources& need,
+                                          microseconds typical_run_time) const {
+  const std::int64_t missing = need.cpu_milli - FreeResources().cpu_milli;
+  if (missing <= 0 || !worker || worker->capacity.cpu_milli <= 0)
+    return microseconds(0);
+  return typical_run_time * missing / worker->capacity.cpu_milli;
+}
+
 }  // namespace egretrack::scheduler
--- a/src/scheduler/worker_view.h
+++ b/src/scheduler/worker_view.h
@@ -46,6 +46,11 @@
   // predicted run time of such a task.
   microseconds PredictWait(const resources& need,
                            microseconds typical_run_time) const;
+  // Time in which the worker frees the CPU that the task lacks, if its whole
+  // capacity turns over once per `typical_run_time`. The wait of a load report
+  // is that of a task with a small need.
+  microseconds PredictRoomWait(const resources& need,
+                               microseconds typical_run_time) const;
 
   decision::link_id link{};
   agent_session session;
