--- a/src/include/egretrack/settings/settings.h
+++ b/src/include/egretrack/settings/settings.h
@@ -130,6 +130,9 @@
   // Limits set by the deployment, which shorten the times above. 0: no limit.
   double resubmit_after_ms = 0;  // Time until callers resubmit a job.
   double stop_grace_s = 0;       // Time from the stop signal to the kill.
+  // First guess of the run time factor on a worker without the task's affinity
+  // label.
+  double far_run_time_factor = 1.5;
   std::string ports_file;
   log_settings log;
 };
--- a/src/job_entry/job_entry_control.cc
+++ b/src/job_entry/job_entry_control.cc
@@ -424,6 +424,29 @@
   return {kOk, {{"Content-Type", "application/json"}}, config_document_};
 }
 
+// The gains are gauges, because a wait that did not pay lowers them.
+void job_entry_control::SetLocalityMetrics() {
+  const auto seconds_of = [](microseconds time) {
+    return std::chrono::duration<double>(time).count();
+  };
+  for (const auto& [name, counters] : core_->locality()) {
+    const std::string kind = "kind=\"" + name + "\"";
+    const auto count = [&](std::string_view metric, std::uint64_t value) {
+      metrics_->SetCounter(metric, kind, value);
+    };
+    count("egretrack_near_dispatches_total", counters.near_dispatches);
+    count("egretrack_near_waits_total", counters.near_waits);
+    count("egretrack_near_returns_total", counters.near_returns);
+    count("egretrack_near_runs_total", counters.near_runs);
+    count("egretrack_far_dispatches_total", counters.far_dispatches);
+    count("egretrack_far_runs_total", counters.far_runs);
+    metrics_->SetGauge("egretrack_near_wait_predicted_gain_seconds", kind,
+                       seconds_of(counters.predicted_gain));
+    metrics_->SetGauge("egretrack_near_wait_measured_gain_seconds", kind,
+                       seconds_of(counters.measured_gain));
+  }
+}
+
 net::http_response job_entry_control::Metrics() {
   const scheduler::scheduler_counters& counters = core_->counters();
   const auto count = [this](std::string_view name, std::uint64_t value) {
@@ -452,6 +475,7 @@
   count("egretrack_log_lines_left_out_total", log_.suppressed());
   for (const auto& [labels, value] : job_outcome_counts_)
     metrics_->SetCounter("egretrack_jobs_ended_total", labels, value);
+  SetLocalityMetrics();
   const scheduler::scheduler_gauges gauges = core_->gauges();
   const auto gauge = [this](std::string_view name, double value) {
     metrics_->SetGauge(name, "", value);
--- a/src/job_entry/job_entry_control.h
+++ b/src/job_entry/job_entry_control.h
@@ -141,6 +141,7 @@
   void PerformCommands(monotonic_time now);
   net::http_exchange_ptr RemoveExchange(scheduler::caller_token caller);
   net::http_response Metrics();
+  void SetLocalityMetrics();
   net::http_response Configuration(const net::http_request& request) const;
   void LogEvent(std::string_view event,
                 bool explains_failure,
--- a/src/job_entry/job_entry_process.cc
+++ b/src/job_entry/job_entry_process.cc
@@ -80,6 +80,7 @@
   options.drain_grace = settings.drain_grace;
   options.drain_bound = settings.drain_bound;
   options.drain_end = settings.drain_end;
+  options.far_run_time_factor = settings.far_run_time_factor;
   ApplyLimits(scheduler::deployment_limits::Create(
                   0, settings.resubmit_after_ms, settings.stop_grace_s),
               options);
--- a/src/settings/job_keys.cc
+++ b/src/settings/job_keys.cc
@@ -76,6 +76,9 @@
            .range = {0, 120000}},
       DeploymentLimitRule("resubmit_after_ms", &s::resubmit_after_ms),
       DeploymentLimitRule("stop_grace_s", &s::stop_grace_s),
+      rule{.name = "far_run_time_factor",
+           .target = &s::far_run_time_factor,
+           .range = {1, 100}},
       PortsFileRule<s>(),
       LogRule<s>(),
   };
--- a/src/settings/tests/settings_test.cc
+++ b/src/settings/tests/settings_test.cc
@@ -199,6 +199,29 @@
                    settings_errc::kOutOfRange, "entry.retention_s"}),
     [](const auto& param) { return param.param.name; });
 
+// Guards against a first guess by which far runs are shorter than near ones,
+// and against a fraction that is not read.
+TEST(Settings, ReadsTheFarRunTimeFactorOfAJobEntry) {
+  constexpr std::string_view kJobEntry = R"(
+role = "job_entry"
+[job_entry]
+id = "e1"
+failure_domain = "palermo"
+jobs = "127.0.0.1:0"
+readiness = "127.0.0.1:0"
+agents = "127.0.0.1:7000"
+internal = "127.0.0.1:0"
+store = "127.0.0.1:7100"
+far_run_time_factor = )";
+  const std::string document(kJobEntry);
+  EXPECT_EQ(FaultTexts(document + "2.5"), std::vector<std::string>());
+  EXPECT_EQ(FaultTexts(document + "3"), std::vector<std::string>());
+  const auto faults = ParseSettings(document + "0.9", "f").faults;
+  ASSERT_EQ(faults.size(), 1U);
+  EXPECT_EQ(faults[0].code, settings_errc::kOutOfRange);
+  EXPECT_EQ(faults[0].key, "job_entry.far_run_time_factor");
+}
+
 // Guards against an unreadable file that is treated as an empty one.
 TEST(Settings, ReportsUnreadableFile) {
   const auto faults = LoadSettings("/nonexistent/egretrack.toml").faults;
