--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -17,6 +17,8 @@
 #include "egretrack/scheduler/evacuation_map.h"
 #include "egretrack/scheduler/job_scheduler.h"
 #include "scheduler/job_admission.h"
+#include "scheduler/locality_model.h"
+#include "scheduler/locality_wait.h"
 #include "scheduler/placement.h"
 #include "scheduler/retry_delay.h"
 #include "scheduler/route_table.h"
@@ -43,6 +45,9 @@
   std::span<const wire::domain_evacuation> evacuations() const override {
     return evacuations_.values();
   }
+  const locality_counters_by_kind& locality() const override {
+    return locality_counters_;
+  }
   bool ready() const override;
 
  private:
@@ -60,6 +65,14 @@
     monotonic_time due;
     wire::domain_evacuation evacuation;
   };
+  // Where a task with an affinity label is sent, if there are workers with and
+  // without the label.
+  struct locality_placement {
+    placement_candidate chosen;
+    locality_plan plan;
+    placement_candidate near;
+    placement_candidate far;
+  };
   struct cached_answer {
     job_state state = job_state::kCompleted;
     job_errc code = job_errc::kNotReady;
@@ -181,6 +194,26 @@
   void RefuseUndispatchedJobs();
   void SendFrames();
 
+  // ---- job_scheduler_locality.cc: workers near a task's data ---------------
+  std::optional<locality_placement> PlaceByLocality(
+      scheduled_job& job,
+      std::uint32_t task,
+      std::span<const placement_candidate> candidates);
+  void RecordLocalityDispatch(scheduled_job& job,
+                              std::uint32_t task,
+                              const placement_candidate& chosen,
+                              const std::optional<locality_placement>& placed,
+                              microseconds queue_bound,
+                              std::vector<event_field>& fields);
+  void RecordNearReturn(scheduled_job& job,
+                        std::uint32_t task,
+                        const wire::run_report& report);
+  void ObserveRunTime(const scheduled_job& job,
+                      const scheduled_task& task,
+                      const wire::run_report& report);
+  // Learns from a run that is stopped now.
+  void ObserveStoppedRun(const scheduled_job& job, const scheduled_task& task);
+
   const scheduler_options options_;
   scheduler_counters counters_;
   decision::entry_drain_lifecycle drain_;
@@ -195,6 +228,9 @@
   std::deque<domain_check> domain_checks_;  // Ordered by time.
   retry_delay retry_delay_;
   job_admission admission_;
+  locality_model locality_model_;
+  reluctance_sequence reluctances_;
+  locality_counters_by_kind locality_counters_;
 
   // Views are never removed, so that tasks can point to them; there is one for
   // each agent that ever connected.
