Let the lease lapse in the slow worker's test

The simulated worker ends its runs with the lease and reads its clock when a call takes effect, so that answers that come late shorten the lease there, too.

--- a/src/scheduler/call_time_limit.h
+++ b/src/scheduler/call_time_limit.h
@@ -10,7 +10,10 @@
 
 class call_time_limit {
  public:
-  // Also the limit before the first call.
+  // Also the limit before the first call. A call of a fast worker that takes
+  // longer is lost or will take effect late: each pending start delays the next
+  // ones, and until a poll is given up, no run ends are seen and no resources
+  // become free.
   static constexpr milliseconds kShortest{20};
 
   explicit call_time_limit(milliseconds longest);
--- a/src/scheduler/tests/run_supervisor_test.cc
+++ b/src/scheduler/tests/run_supervisor_test.cc
@@ -355,12 +355,14 @@
 }
 
 // Guards against a lost poll that hides run ends, and so free resources, for
-// more than 60 ms, the slack of a short task. A poll times out 20 ms after its
-// wait time.
+// more than 60 ms, the slack of a short task. A poll to a worker that
+// answers in time has a limit of 20 ms beyond its wait.
 TEST_F(RunSupervisor, LimitsDelayAfterLostPoll) {
   StartConfirmedRun(0);
   driver_.AnswerPoll({{supervisor_driver::RunId(0), 10}});
-  EXPECT_LE(driver_.Commands<poll_worker>().back().wait, milliseconds(40));
+  const poll_worker poll = driver_.Commands<poll_worker>().back();
+  EXPECT_LE(poll.wait, milliseconds(40));
+  EXPECT_LE(poll.wait + poll.time_limit, milliseconds(60));
 }
 
 // Guards against treating a worker as silent because the agent or the worker
--- a/src/scheduler/tests/worker_calls_test.cc
+++ b/src/scheduler/tests/worker_calls_test.cc
@@ -19,7 +19,8 @@
 constexpr milliseconds kStep{1};
 constexpr milliseconds kStopTime{30};
 
-// A worker whose calls take effect at once and are answered after a time that
+// A worker whose calls take effect at once, also on the lease under which all
+// of its runs execute, and are answered after a time that
 // `answer_time` gives; nullopt for never. The supervisor learns of an answer
 // only if it arrives within the time limit of the call.
 class simulated_worker {
@@ -116,16 +117,18 @@
   }
 
   void OnStart(const start_run& start) {
+    lease_end_ = std::max(lease_end_, start.lease_until);
     ends_.try_emplace(start.id, driver.now + run_time);
-    Await({}, start.time_limit, true, [this, id = start.id](outcome made) {
-      start_answered answer{id, worker_call_result::kUnanswered, {}, {}};
-      answer.call_time = made.call_time;
-      if (made.answered) {
-        answer.result = worker_call_result::kAccepted;
-        answer.worker_clock = driver.WorkerNow();
-      }
-      driver.Handle(answer);
-    });
+    Await({}, start.time_limit, true,
+          [this, id = start.id, clock = driver.WorkerNow()](outcome made) {
+            start_answered answer{id, worker_call_result::kUnanswered, {}, {}};
+            answer.call_time = made.call_time;
+            if (made.answered) {
+              answer.result = worker_call_result::kAccepted;
+              answer.worker_clock = clock;
+            }
+            driver.Handle(answer);
+          });
   }
 
   void OnStop(const stop_run& stop) {
@@ -144,10 +147,12 @@
 
   // Ends are listed with the answer to a poll whose wait is over.
   void OnPoll(const poll_worker& poll) {
+    lease_end_ = std::max(lease_end_, poll.lease_until);
     std::erase_if(ended_, [&](const ended_row& row) {
       return row.sequence <= poll.last_end_seen;
     });
-    Await(poll.wait, poll.time_limit, true, [this](outcome made) {
+    const milliseconds clock = driver.WorkerNow() + poll.wait;
+    Await(poll.wait, poll.time_limit, true, [this, clock](outcome made) {
       if (made.answered)
         unanswered_polls_ = 0;
       else if (++unanswered_polls_ == 1)
@@ -157,7 +162,7 @@
       if (made.answered) {
         answer.result = worker_call_result::kAccepted;
         answer.worker_incarnation = supervisor_driver::kWorkerIncarnation;
-        answer.worker_clock = driver.WorkerNow();
+        answer.worker_clock = clock;
         for (const auto& [id, end] : ends_)
           answer.running.push_back({id, Percent(end)});
         answer.ended = ended_;
@@ -172,10 +177,12 @@
   }
 
   void EndRuns() {
-    std::erase_if(ends_, [this](const auto& run) {
-      if (driver.now < run.second)
+    const bool lapsed = driver.WorkerNow() >= lease_end_;
+    std::erase_if(ends_, [this, lapsed](const auto& run) {
+      if (!lapsed && driver.now < run.second)
         return false;
-      ended_.push_back({++last_end_, run.first, run_end::kDone});
+      ended_.push_back(
+          {++last_end_, run.first, lapsed ? run_end::kLost : run_end::kDone});
       return true;
     });
   }
@@ -190,6 +197,7 @@
 
   std::multimap<monotonic_time, std::function<void()>> due_;
   std::map<run_id, monotonic_time> ends_;
+  milliseconds lease_end_{0};  // On the worker's clock.
   std::vector<ended_row> ended_;
   std::uint64_t last_end_ = 0;
   std::size_t unanswered_polls_ = 0;  // Consecutive.
