--- a/src/soak/deployment.cc
+++ b/src/soak/deployment.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "egretrack/base/file.h"
+#include "platform/evacuation_rows.h"
 #include "platform/standins/job_caller.h"
 #include "platform/store_client.h"
 
@@ -24,6 +25,12 @@
 constexpr milliseconds kMinDeadline{1400};
 constexpr milliseconds kDeadlineStep{50};
 constexpr int kDeadlineCount = 5;
+// Time after the operator's write from which nothing may start in the domain.
+constexpr milliseconds kEvacuationBound{5000};
+
+std::string DomainName(int domain) {
+  return "d" + std::to_string(domain);
+}
 
 std::string Address(std::uint16_t port) {
   return "127.0.0.1:" + std::to_string(port);
@@ -114,7 +121,9 @@
     entry.fault_relay = relays_->Open();
     const std::string text =
         "role = \"job_entry\"\n[job_entry]\nid = \"" + entry.name +
-        "\"\nfailure_domain = \"d\"\njobs = \"127.0.0.1:0\"\n"
+        "\"\nfailure_domain = \"" +
+        DomainName(static_cast<int>(index) % kDomainCount) +
+        "\"\njobs = \"127.0.0.1:0\"\n"
         "readiness = \"127.0.0.1:0\"\nagents = \"127.0.0.1:0\"\n"
         "internal = \"127.0.0.1:0\"\nadvertised = \"" +
         Address(entry.fault_relay->port()) + "\"\nstore = \"" + store +
@@ -130,7 +139,9 @@
     agent.fault_relay = relays_->Open();
     const std::string text =
         "role = \"job_agent\"\n[job_agent]\nid = \"" + agent.name +
-        "\"\nfailure_domain = \"d\"\nreports = \"127.0.0.1:0\"\n"
+        "\"\nfailure_domain = \"" +
+        DomainName(static_cast<int>(index) % kDomainCount) +
+        "\"\nreports = \"127.0.0.1:0\"\n"
         "internal = \"127.0.0.1:0\"\nentry_port = 1\nstore = \"" +
         store + "\"\nports_file = \"" + agent.ports_path + "\"\n";
     if (auto written = ReplaceFile(agent.settings_path, text); !written)
@@ -221,6 +232,9 @@
   for (const auto table : {platform::kEntriesTable, platform::kWorkersTable,
                            platform::kOperatorTable})
     store_->PutUnencoded(table, "aaa-no-base64", "*");
+  for (const char* key : {"evacuate/", "evacuate/d0"})
+    store_->Put(platform::kOperatorTable, key, "[]");
+  store_->PutUnencoded(platform::kOperatorTable, "evacuate/d1", "*");
   for (const daemon& agent : agents_)
     store_->Put(platform::kWorkersTable, agent.name, nested);
 }
@@ -234,6 +248,30 @@
               standins::EncodeConfiguration(config_version_, deadline));
 }
 
+void deployment::Evacuate(int domain) {
+  if (!evacuated_domains_.insert(domain).second)
+    return;
+  store_->Put(platform::kOperatorTable,
+              std::string(platform::kEvacuationKeyPrefix) + DomainName(domain),
+              "{}");
+  const monotonic_time forbidden_from =
+      monotonic_clock::now() + kEvacuationBound;
+  if (!options_.check_evacuations)
+    return;
+  for (int agent = domain; agent < options_.agent_count; agent += kDomainCount)
+    history_.ForbidRuns(agent, forbidden_from);
+}
+
+void deployment::EndEvacuation(int domain) {
+  if (evacuated_domains_.erase(domain) == 0)
+    return;
+  for (int agent = domain; agent < options_.agent_count; agent += kDomainCount)
+    history_.AllowRuns(agent);
+  store_->Delete(
+      platform::kOperatorTable,
+      std::string(platform::kEvacuationKeyPrefix) + DomainName(domain));
+}
+
 void deployment::Kill(daemon& target,
                       monotonic_time now,
                       milliseconds down_time) {
@@ -311,6 +349,8 @@
   store_->SetMode(standins::store_mode::kServing);
   store_relay_->BlackholeNewConnections(false);
   store_relay_->SetDelay(milliseconds(0));
+  for (int domain = 0; domain < kDomainCount; ++domain)
+    EndEvacuation(domain);
   store_relay_->CloseConnections();
   for (std::size_t index = 0; index < workers_.size(); ++index) {
     if (!workers_[index])
--- a/src/soak/deployment.h
+++ b/src/soak/deployment.h
@@ -4,6 +4,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,9 @@
 
 namespace egretrack::soak {
 
+// Agent n is in the failure domain n modulo this number.
+inline constexpr int kDomainCount = 3;
+
 struct deployment_options {
   std::string program_folder;  // Contains egretrackd.
   std::string work_folder;     // For settings, logs and port files.
@@ -25,6 +29,9 @@
   int agent_count = 4;
   std::uint64_t seed = 1;
   bool workers_keep_ids = false;
+  // A run that begins in an evacuated domain after the bound is a violation.
+  // For runs without faults that cut agents off or delay calls to workers.
+  bool check_evacuations = false;
 };
 
 // An entry or agent process, and the relay that disturbs its connections.
@@ -71,6 +78,9 @@
   void SendOddReport(int number, bool worker_id);
   // Publishes a new configuration version with another deadline.
   void PublishConfiguration();
+  // Writes or removes the row that evacuates a failure domain.
+  void Evacuate(int domain);
+  void EndEvacuation(int domain);
   // Ends all injected faults, and resumes or restarts everything that is down.
   void EndFaults(monotonic_time now);
 
@@ -109,6 +119,7 @@
   mutable std::mutex mutex_;
   std::vector<std::uint16_t> jobs_ports_;  // By entry; guarded by mutex_.
   std::uint64_t config_version_ = 0;
+  std::set<int> evacuated_domains_;
 };
 
 }  // namespace egretrack::soak
--- a/src/soak/faults.cc
+++ b/src/soak/faults.cc
@@ -13,7 +13,7 @@
 
 }  // namespace
 
-const std::array<fault_injector::fault_kind, 26> fault_injector::kFaultKinds{{
+const std::array<fault_injector::fault_kind, 27> fault_injector::kFaultKinds{{
     fault_kind{"kill_entry", &fault_injector::KillEntry},
     fault_kind{"kill_agent", &fault_injector::KillAgent},
     fault_kind{"restart_entry", &fault_injector::RestartEntry},
@@ -40,6 +40,7 @@
     fault_kind{"fail_runs", &fault_injector::FailRuns},
     fault_kind{"slow_worker", &fault_injector::SlowWorker},
     fault_kind{"stall_worker", &fault_injector::StallWorker},
+    fault_kind{"evacuate", &fault_injector::EvacuateDomain},
 }};
 
 fault_injector::fault_injector(deployment& system,
@@ -305,4 +306,14 @@
   SetWorkerFaults(PickWorker(), {.stalled = true}, now);
 }
 
+// ---- Operator -------------------------------------------------------------
+
+// Mostly longer than the bound after which nothing may start.
+void fault_injector::EvacuateDomain(monotonic_time now) {
+  const int domain = RandomInt(0, kDomainCount - 1);
+  system_.Evacuate(domain);
+  ScheduleAt(now + RandomDuration(3000, 9000),
+             [this, domain] { system_.EndEvacuation(domain); });
+}
+
 }  // namespace egretrack::soak
--- a/src/soak/faults.h
+++ b/src/soak/faults.h
@@ -36,7 +36,7 @@
     const char* name;
     inject_function inject;
   };
-  static const std::array<fault_kind, 26> kFaultKinds;
+  static const std::array<fault_kind, 27> kFaultKinds;
 
   void KillEntry(monotonic_time now);
   void RestartEntry(monotonic_time now);
@@ -64,6 +64,7 @@
   void FailRuns(monotonic_time now);
   void SlowWorker(monotonic_time now);
   void StallWorker(monotonic_time now);
+  void EvacuateDomain(monotonic_time now);
 
   // Sets the faults of a worker and clears them after a random time.
   void SetWorkerFaults(int worker,
--- a/src/soak/job_soak.cc
+++ b/src/soak/job_soak.cc
@@ -140,6 +140,8 @@
       ->delimiter(',');
   app.add_flag("--keep-ids", options.system.workers_keep_ids,
                "Workers keep their id when they restart");
+  app.add_flag("--check-evacuations", options.system.check_evacuations,
+               "Check that nothing starts in an evacuated domain");
   app.add_option("--callers", options.caller_count,
                  "Number of concurrent callers")
       ->check(CLI::Range(0, 200));
--- a/src/standins/run_history.cc
+++ b/src/standins/run_history.cc
@@ -18,6 +18,14 @@
   ++run_count_;
   ++runs_by_worker_[worker];
   runs.running.push_back(worker);
+  const auto forbidden = forbidden_from_.find(worker);
+  if (forbidden != forbidden_from_.end() && now > forbidden->second) {
+    violations_.push_back(
+        "task " + std::string(task) + " begins on worker " +
+        std::to_string(worker) + " of an evacuated domain, " +
+        std::to_string((now - forbidden->second).count() / 1000) +
+        " ms after the bound");
+  }
   if (runs.running.size() > 1) {
     violations_.push_back(
         "task " + std::string(task) + " begins on worker " +
@@ -27,6 +35,16 @@
   }
 }
 
+void run_history::ForbidRuns(int worker, monotonic_time from) {
+  const std::lock_guard lock(mutex_);
+  forbidden_from_[worker] = from;
+}
+
+void run_history::AllowRuns(int worker) {
+  const std::lock_guard lock(mutex_);
+  forbidden_from_.erase(worker);
+}
+
 void run_history::RecordEnd(std::string_view task,
                             int worker,
                             bool done,
--- a/src/standins/run_history.h
+++ b/src/standins/run_history.h
@@ -31,6 +31,11 @@
   std::size_t CountRuns() const;
   std::size_t CountRunsOnWorker(int worker) const;
 
+  // A run that starts on the worker after `from` is a violation until
+  // AllowRuns().
+  void ForbidRuns(int worker, monotonic_time from);
+  void AllowRuns(int worker);
+
   void AddViolation(std::string message);
   std::vector<std::string> violations() const;
 
@@ -48,6 +53,7 @@
       jobs_;  // By job key, then by task.
   std::size_t run_count_ = 0;
   std::map<int, std::size_t> runs_by_worker_;
+  std::map<int, monotonic_time> forbidden_from_;  // By worker.
   std::vector<std::string> violations_;
 };
 
