--- a/src/soak/faults.cc
+++ b/src/soak/faults.cc
@@ -14,7 +14,7 @@
 
 }  // namespace
 
-const std::array<fault_injector::fault_kind, 27> fault_injector::kFaultKinds{{
+const std::array<fault_injector::fault_kind, 28> fault_injector::kFaultKinds{{
     fault_kind{"kill_entry", &fault_injector::KillEntry},
     fault_kind{"kill_agent", &fault_injector::KillAgent},
     fault_kind{"restart_entry", &fault_injector::RestartEntry},
@@ -42,6 +42,7 @@
     fault_kind{"slow_worker", &fault_injector::SlowWorker},
     fault_kind{"stall_worker", &fault_injector::StallWorker},
     fault_kind{"slow_worker_calls", &fault_injector::SlowWorkerCalls},
+    fault_kind{"evacuate", &fault_injector::EvacuateDomain},
 }};
 
 fault_injector::fault_injector(deployment& system,
@@ -315,4 +316,14 @@
     SetWorkerFaults(worker, {.max_answer_delay = kMaxAnswerDelay}, now);
 }
 
+// ---- Operator -------------------------------------------------------------
+
+// Mostly longer than the bound after which nothing may start.
+void fault_injector::EvacuateDomain(monotonic_time now) {
+  const int domain = RandomInt(0, kDomainCount - 1);
+  system_.Evacuate(domain);
+  ScheduleAt(now + RandomDuration(3000, 9000),
+             [this, domain] { system_.EndEvacuation(domain); });
+}
+
 }  // namespace egretrack::soak
--- a/src/soak/faults.h
+++ b/src/soak/faults.h
@@ -36,7 +36,7 @@
     const char* name;
     inject_function inject;
   };
-  static const std::array<fault_kind, 27> kFaultKinds;
+  static const std::array<fault_kind, 28> kFaultKinds;
 
   void KillEntry(monotonic_time now);
   void RestartEntry(monotonic_time now);
@@ -65,6 +65,7 @@
   void SlowWorker(monotonic_time now);
   void StallWorker(monotonic_time now);
   void SlowWorkerCalls(monotonic_time now);
+  void EvacuateDomain(monotonic_time now);
 
   // Sets the faults of a worker and clears them after a random time.
   void SetWorkerFaults(int worker,
--- a/src/standins/run_history.cc
+++ b/src/standins/run_history.cc
@@ -18,6 +18,14 @@
   ++runs.start_count;
   ++run_count_;
   ++runs_by_worker_[worker];
+  const auto forbidden = forbidden_from_.find(worker);
+  if (forbidden != forbidden_from_.end() && now > forbidden->second) {
+    violations_.push_back(
+        "task " + std::string(task) + " begins on worker " +
+        std::to_string(worker) + " of an evacuated domain, " +
+        std::to_string((now - forbidden->second).count() / 1000) +
+        " ms after the bound");
+  }
   const std::int64_t now_us = now.time_since_epoch().count();
   const auto other = std::ranges::find_if(
       runs.running,
@@ -31,6 +39,16 @@
   runs.running.push_back({worker, std::move(lease)});
 }
 
+void run_history::ForbidRuns(int worker, monotonic_time from) {
+  const std::lock_guard lock(mutex_);
+  forbidden_from_[worker] = from;
+}
+
+void run_history::AllowRuns(int worker) {
+  const std::lock_guard lock(mutex_);
+  forbidden_from_.erase(worker);
+}
+
 void run_history::RecordEnd(std::string_view task,
                             int worker,
                             bool done,
