Start and dispatch tasks in the order of a virtual deadline

The entry moves the target of a job by the priority of its kind and by the work that is already done, and sends it with each dispatch; until now it sent the target. The order within a priority is that of the targets. An entry dispatches its waiting jobs in the same order instead of by their number.

--- a/src/scheduler/job_scheduler.cc
+++ b/src/scheduler/job_scheduler.cc
@@ -67,13 +67,7 @@
   CheckAgentTimeouts();
   if (dispatch_needed_ || now_ >= next_dispatch_retry_) {
     dispatch_needed_ = false;
-    const std::vector<std::uint64_t> waiting(waiting_jobs_.begin(),
-                                             waiting_jobs_.end());
-    for (const std::uint64_t number : waiting) {
-      const auto found = jobs_.find(number);
-      if (found != jobs_.end())
-        DispatchWaitingTasks(*found->second);
-    }
+    DispatchWaitingJobs();
     RefuseUndispatchedJobs();
     next_dispatch_retry_ = now_ + kDispatchRetryInterval;
   }
--- a/src/scheduler/job_scheduler_dispatch.cc
+++ b/src/scheduler/job_scheduler_dispatch.cc
@@ -30,6 +30,14 @@
   return kQueueBoundFactor * chosen.wait + margin;
 }
 
+job_standing StandingOf(const scheduled_job& job) {
+  return {.accepted_at = job.accepted_at,
+          .target = job.target,
+          .priority = job.kind->priority,
+          .work = job.work,
+          .done_work = job.done_work};
+}
+
 }  // namespace
 
 // ---- Dispatch -------------------------------------------------------------
@@ -101,6 +109,21 @@
   return candidates;
 }
 
+void job_scheduler_impl::DispatchWaitingJobs() {
+  // Jobs with equal virtual deadlines are dispatched by their number.
+  std::vector<std::pair<monotonic_time, std::uint64_t>> waiting;
+  waiting.reserve(waiting_jobs_.size());
+  for (const std::uint64_t number : waiting_jobs_)
+    waiting.emplace_back(
+        start_order_.VirtualDeadline(StandingOf(*jobs_.at(number))), number);
+  std::ranges::sort(waiting);
+  for (const auto& [virtual_deadline, number] : waiting) {
+    const auto found = jobs_.find(number);
+    if (found != jobs_.end())
+      DispatchWaitingTasks(*found->second);
+  }
+}
+
 void job_scheduler_impl::DispatchWaitingTasks(scheduled_job& job) {
   const std::uint64_t number = job.number;
   for (std::uint32_t task = 0; task < job.tasks.size() && job.waiting > 0;
@@ -139,16 +162,18 @@
   ++counters_.dispatches;
   if (!job.first_dispatch)
     job.first_dispatch = now_;
-  RecordDecision(
-      decision_kind::kTaskDispatched, job.job_key,
-      {{"task", std::int64_t{task}},
-       {"attempt", std::int64_t{state.attempt}},
-       {"agent", view.agent()},
-       {"wait_us", chosen->wait.count()},
-       {"run_us", chosen->run.count()},
-       {"free_cpu_milli", chosen->free_cpu_milli},
-       {"view_age_us", (now_ - view.last_contact).count()},
-       {"candidates", static_cast<std::int64_t>(candidates.size())}});
+  const microseconds virtual_deadline =
+      start_order_.VirtualDeadline(StandingOf(job)) - now_;
+  RecordDecision(decision_kind::kTaskDispatched, job.job_key,
+                 {{"task", std::int64_t{task}},
+                  {"attempt", std::int64_t{state.attempt}},
+                  {"agent", view.agent()},
+                  {"wait_us", chosen->wait.count()},
+                  {"run_us", chosen->run.count()},
+                  {"free_cpu_milli", chosen->free_cpu_milli},
+                  {"view_age_us", (now_ - view.last_contact).count()},
+                  {"candidates", static_cast<std::int64_t>(candidates.size())},
+                  {"virtual_deadline_us", virtual_deadline.count()}});
 
   wire::run_dispatch dispatch;
   dispatch.job = job.number;
@@ -162,7 +187,7 @@
   dispatch.predicted = chosen->run;
   dispatch.start_by = job.deadline - Scale(chosen->run, kStartByShare);
   dispatch.target = job.target - now_;
-  dispatch.virtual_deadline = dispatch.target;
+  dispatch.virtual_deadline = virtual_deadline;
   dispatch.queue_bound = QueueBound(*chosen, dispatch.target);
   view.RecordDispatch(step.spec.need);
   view.outgoing.emplace_back(std::move(dispatch));
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -21,6 +21,7 @@
 #include "scheduler/run_end_proof.h"
 #include "scheduler/run_time_model.h"
 #include "scheduler/scheduled_job.h"
+#include "scheduler/start_order.h"
 #include "scheduler/worker_view.h"
 
 namespace egretrack::scheduler {
@@ -149,6 +150,9 @@
   microseconds PredictRunTime(const worker_view& view,
                               const scheduled_job& job,
                               const scheduled_step& step) const;
+  // Dispatches waiting tasks, those of the jobs with the earliest virtual
+  // deadline first.
+  void DispatchWaitingJobs();
   void DispatchWaitingTasks(scheduled_job& job);
   bool DispatchTask(scheduled_job& job, std::uint32_t task);
   void SendFrames();
@@ -165,6 +169,7 @@
   run_time_model run_times_;
   retry_delay retry_delay_;
   job_admission admission_;
+  start_order start_order_;
 
   // Views are never removed, so that tasks can point to them; there is one for
   // each agent that ever connected.
--- a/src/scheduler/job_scheduler_jobs.cc
+++ b/src/scheduler/job_scheduler_jobs.cc
@@ -108,6 +108,7 @@
       task.index = index;
       job->tasks.push_back(task);
     }
+    job->work += step.estimate * spec.count;
     step.spec = std::move(spec);
     job->steps.push_back(std::move(step));
   }
@@ -125,6 +126,7 @@
   jobs_by_caller_[job.caller] = &job;
   deadlines_.Add(job.deadline, job.number);
   ++counters_.jobs_accepted;
+  start_order_.Observe(job.kind->priority, CriticalPathLength(job.steps));
   RecordDecision(
       decision_kind::kJobAccepted, job.job_key,
       {{"kind", job.kind->name},
@@ -229,6 +231,7 @@
   job.may_have_run = true;
   scheduled_step& step = job.steps[done.step];
   --step.unfinished_tasks;
+  job.done_work += step.estimate;
   if (--job.unfinished_tasks == 0)
     return FinishJob(job, job_state::kCompleted, job_errc::kNotReady);
   if (step.unfinished_tasks == 0)
--- a/src/scheduler/run_supervisor_links.cc
+++ b/src/scheduler/run_supervisor_links.cc
@@ -94,6 +94,7 @@
   run.received = now_;
   run.start_by = link.ToLocalDeadline(message.start_by);
   run.target = now_ + message.target;
+  run.virtual_deadline = now_ + message.virtual_deadline;
   run.return_at = now_ + message.queue_bound;
   const std::uint64_t key = runs_.Add(std::move(run));
   if (const auto reason = DispatchRefusalReason()) {
--- a/src/scheduler/run_table.cc
+++ b/src/scheduler/run_table.cc
@@ -1,10 +1,11 @@
 #include "scheduler/run_table.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 #include <vector>
 
+#include "scheduler/start_order.h"
+
 namespace egretrack::scheduler {
 namespace {
 
@@ -25,11 +26,13 @@
   return Scale(age, kOverrunFactor);
 }
 
-// Sort key for starts. Runs that can still be on time go first, by their
-// target; late runs follow, by their start limit.
-auto StartPriority(const agent_run& run, monotonic_time now) {
-  const bool late = now + run.predicted > run.target;
-  return std::tuple(late, late ? run.start_by : run.target, run.received);
+start_key StartPriority(const agent_run& run, monotonic_time now) {
+  return MakeStartKey({.target = run.target,
+                       .virtual_deadline = run.virtual_deadline,
+                       .start_by = run.start_by,
+                       .received = run.received,
+                       .predicted = run.predicted},
+                      now);
 }
 
 struct resource_release {
--- a/src/scheduler/run_table.h
+++ b/src/scheduler/run_table.h
@@ -27,8 +27,9 @@
   std::string spec;
   microseconds predicted{0};
   monotonic_time received;
-  monotonic_time start_by;     // On the local clock.
-  monotonic_time target;       // A result after this time is late.
+  monotonic_time start_by;          // On the local clock.
+  monotonic_time target;            // A result after this time is late.
+  monotonic_time virtual_deadline;  // Orders starts.
   monotonic_time return_at;    // Returned to the entry if not started by then.
   monotonic_time started{};    // Time of the first start call.
   monotonic_time confirmed{};  // When the worker first confirmed the run.
--- a/src/scheduler/tests/supervisor_driver.h
+++ b/src/scheduler/tests/supervisor_driver.h
@@ -163,6 +163,7 @@
     dispatch.predicted = predicted;
     dispatch.start_by = EntryNow() + seconds(1);
     dispatch.target = milliseconds(300);
+    dispatch.virtual_deadline = dispatch.target;
     dispatch.queue_bound = milliseconds(400);
     auto frame = MakeFrame(entry);
     frame.messages.emplace_back(dispatch);
