--- a/src/soak/deployment.cc
+++ b/src/soak/deployment.cc
@@ -118,7 +118,8 @@
         "readiness = \"127.0.0.1:0\"\nagents = \"127.0.0.1:0\"\n"
         "internal = \"127.0.0.1:0\"\nadvertised = \"" +
         Address(entry.fault_relay->port()) + "\"\nstore = \"" + store +
-        "\"\nports_file = \"" + entry.ports_path + "\"\n";
+        "\"\nports_file = \"" + entry.ports_path + "\"\n" +
+        options_.entry_settings;
     if (auto written = ReplaceFile(entry.settings_path, text); !written)
       return written;
   }
@@ -132,7 +133,8 @@
         "role = \"job_agent\"\n[job_agent]\nid = \"" + agent.name +
         "\"\nfailure_domain = \"d\"\nreports = \"127.0.0.1:0\"\n"
         "internal = \"127.0.0.1:0\"\nentry_port = 1\nstore = \"" +
-        store + "\"\nports_file = \"" + agent.ports_path + "\"\n";
+        store + "\"\nports_file = \"" + agent.ports_path + "\"\n" +
+        options_.agent_settings;
     if (auto written = ReplaceFile(agent.settings_path, text); !written)
       return written;
   }
--- a/src/soak/deployment.h
+++ b/src/soak/deployment.h
@@ -25,6 +25,9 @@
   int agent_count = 4;
   std::uint64_t seed = 1;
   bool workers_keep_ids = false;
+  // Lines of TOML that are added to the settings of each entry and agent.
+  std::string entry_settings;
+  std::string agent_settings;
 };
 
 // An entry or agent process, and the relay that disturbs its connections.
--- a/src/standins/child_process.h
+++ b/src/standins/child_process.h
@@ -30,6 +30,7 @@
   // Sends a signal to the process group unless the process has ended.
   void Signal(int signal);
   bool IsRunning();
+  pid_t pid() const { return pid_; }
   // Returns the exit code, or 128 plus the number of the signal that ended the
   // process; empty if IsRunning() has not yet seen it end.
   std::optional<int> exit_code() const { return exit_code_; }
