Bound the memory of an entry's live jobs

4,096 jobs of 1,200 tasks would hold more memory than a machine has. The scheduler estimates what a job holds from its tasks, steps, dependencies, spec and path, and refuses further jobs as records_full before it accepts them. Cached answers are bounded by the bytes of their keys too, as a path may be almost as long as a header.

--- a/src/include/egretrack/scheduler/job_scheduler.h
+++ b/src/include/egretrack/scheduler/job_scheduler.h
@@ -181,6 +181,8 @@
   milliseconds answer_retention{10000};  // For jobs that are resubmitted.
   // Run time factor on a worker without the task's affinity label.
   double affinity_miss_factor = 1.5;
+  // Memory of all live jobs; more of them are refused.
+  std::size_t max_job_bytes = 64U << 20U;
 };
 
 struct scheduler_counters {
@@ -196,6 +198,8 @@
   std::uint64_t tasks_failed = 0;    // Runs that failed at the worker.
   std::uint64_t late_reports = 0;
   std::uint64_t ejections = 0;
+  // Refused because of the limit of jobs or of their memory.
+  std::uint64_t jobs_over_limit = 0;
 };
 
 struct scheduler_gauges {
@@ -206,6 +210,7 @@
   std::size_t agents_usable = 0;
   std::uint64_t config_version = 0;
   std::int64_t free_cpu_milli = 0;
+  std::size_t job_bytes = 0;  // Memory of the live jobs.
 };
 
 // Does no I/O and has no clock or thread of its own; owned by the control
--- a/src/scheduler/job_scheduler.cc
+++ b/src/scheduler/job_scheduler.cc
@@ -18,6 +18,9 @@
 // A draining entry that has received no submission for this time has no callers
 // left.
 constexpr milliseconds kQuietPeriod{500};
+constexpr std::size_t kMaxCachedAnswers = 4096;
+// A key may be almost as long as the header of its request.
+constexpr std::size_t kMaxCachedKeyBytes = 4U << 20U;
 
 }  // namespace
 
@@ -36,7 +39,7 @@
 }
 
 job_scheduler_impl::job_scheduler_impl(scheduler_options options)
-    : options_(std::move(options)) {}
+    : options_(std::move(options)), job_memory_(options_.max_job_bytes) {}
 
 void job_scheduler_impl::BeginCall(monotonic_time now,
                                    std::vector<scheduler_command>& commands) {
@@ -167,6 +170,7 @@
 scheduler_gauges job_scheduler_impl::gauges() const {
   scheduler_gauges gauges;
   gauges.jobs = jobs_.size();
+  gauges.job_bytes = job_memory_.used();
   gauges.tasks_outstanding = outstanding_;
   for (const std::uint64_t number : waiting_jobs_)
     gauges.tasks_waiting += jobs_.at(number)->waiting;
@@ -191,4 +195,31 @@
   Emit(decision_record{kind, std::string(job), std::move(fields)});
 }
 
+// ---- Answers that are repeated --------------------------------------------
+
+void job_scheduler_impl::CacheAnswer(const scheduled_job& job,
+                                     job_state state,
+                                     job_errc code) {
+  // A resubmission may run a refused job or one with unknown outcome again.
+  if (state == job_state::kRefused || state == job_state::kOutcomeUnknown)
+    return;
+  const monotonic_time expires_at = now_ + options_.answer_retention;
+  cached_answers_[job.key] = {state, code, expires_at};
+  cached_answer_expiry_.emplace_back(expires_at, job.key);
+  cached_key_bytes_ += job.key.size();
+  while (!cached_answer_expiry_.empty() &&
+         (cached_answer_expiry_.front().first <= now_ ||
+          cached_answer_expiry_.size() > kMaxCachedAnswers ||
+          cached_key_bytes_ > kMaxCachedKeyBytes)) {
+    const auto oldest =
+        cached_answers_.find(cached_answer_expiry_.front().second);
+    if (oldest != cached_answers_.end() &&
+        oldest->second.expires_at == cached_answer_expiry_.front().first) {
+      cached_answers_.erase(oldest);
+    }
+    cached_key_bytes_ -= cached_answer_expiry_.front().second.size();
+    cached_answer_expiry_.pop_front();
+  }
+}
+
 }  // namespace egretrack::scheduler
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -14,6 +14,7 @@
 #include "decision/entry_drain_lifecycle.h"
 #include "decision/timer_queue.h"
 #include "egretrack/scheduler/job_scheduler.h"
+#include "scheduler/job_memory.h"
 #include "scheduler/placement.h"
 #include "scheduler/route_table.h"
 #include "scheduler/run_end_proof.h"
@@ -140,6 +141,7 @@
   void SendFrames();
 
   const scheduler_options options_;
+  job_memory job_memory_;
   scheduler_counters counters_;
   decision::entry_drain_lifecycle drain_;
   monotonic_time drain_started_at_{};
@@ -162,6 +164,7 @@
   std::set<std::uint64_t> waiting_jobs_;  // With tasks in phase kWaiting.
   std::unordered_map<std::string, cached_answer> cached_answers_;
   std::deque<std::pair<monotonic_time, std::string>> cached_answer_expiry_;
+  std::size_t cached_key_bytes_ = 0;  // In cached_answer_expiry_.
   decision::timer_queue<std::uint64_t> deadlines_;
   std::uint64_t last_job_number_ = 0;
   std::size_t outstanding_ = 0;
--- a/src/scheduler/job_scheduler_jobs.cc
+++ b/src/scheduler/job_scheduler_jobs.cc
@@ -8,7 +8,6 @@
 
 constexpr std::uint32_t kMaxTasks = 1200;
 constexpr std::size_t kMaxSpecBytes = 4000;
-constexpr std::size_t kMaxCachedAnswers = 4096;
 // For tasks without an estimate; most tasks run for about this time.
 constexpr milliseconds kDefaultEstimate{200};
 // A job without a dispatched task is refused after this share of the time until
@@ -58,10 +57,14 @@
     return;
   if (auto refused = CheckContent(event))
     return Refuse(event, job_key, *refused);
-  if (jobs_.size() >= options_.max_jobs)
+  const std::size_t memory = EstimateJobBytes(event);
+  if (jobs_.size() >= options_.max_jobs || !job_memory_.Admits(memory)) {
+    ++counters_.jobs_over_limit;
     return Refuse(event, job_key,
                   {job_errc::kRecordsFull, kRetryAfter, {}, {}});
+  }
   auto job = MakeJob(event, *route);
+  job->memory = memory;
   if (auto refused = CheckCapacity(*job))
     return Refuse(event, job_key, *refused);
   Accept(std::move(job));
@@ -177,6 +180,7 @@
 void job_scheduler_impl::Accept(std::unique_ptr<scheduled_job> accepted) {
   accepted->number = ++last_job_number_;
   scheduled_job& job = *accepted;
+  job_memory_.Add(job.memory);
   jobs_.emplace(job.number, std::move(accepted));
   jobs_by_key_[job.key] = &job;
   jobs_by_caller_[job.caller] = &job;
@@ -366,29 +370,8 @@
   RemoveJob(job);
 }
 
-void job_scheduler_impl::CacheAnswer(const scheduled_job& job,
-                                     job_state state,
-                                     job_errc code) {
-  // A resubmission may run a refused job or one with unknown outcome again.
-  if (state == job_state::kRefused || state == job_state::kOutcomeUnknown)
-    return;
-  const monotonic_time expires_at = now_ + options_.answer_retention;
-  cached_answers_[job.key] = {state, code, expires_at};
-  cached_answer_expiry_.emplace_back(expires_at, job.key);
-  while (!cached_answer_expiry_.empty() &&
-         (cached_answer_expiry_.front().first <= now_ ||
-          cached_answer_expiry_.size() > kMaxCachedAnswers)) {
-    const auto oldest =
-        cached_answers_.find(cached_answer_expiry_.front().second);
-    if (oldest != cached_answers_.end() &&
-        oldest->second.expires_at == cached_answer_expiry_.front().first) {
-      cached_answers_.erase(oldest);
-    }
-    cached_answer_expiry_.pop_front();
-  }
-}
-
 void job_scheduler_impl::RemoveJob(scheduled_job& job) {
+  job_memory_.Remove(job.memory);
   waiting_jobs_.erase(job.number);
   jobs_by_key_.erase(job.key);
   jobs_by_caller_.erase(job.caller);
--- a/src/scheduler/scheduled_job.h
+++ b/src/scheduler/scheduled_job.h
@@ -62,6 +62,7 @@
   std::uint32_t outstanding = 0;
   std::optional<monotonic_time> first_dispatch;
   bool may_have_run = false;  // A run was lost, failed or is done.
+  std::size_t memory = 0;     // In bytes, see EstimateJobBytes().
 };
 
 }  // namespace egretrack::scheduler
