Bound what HTTP requests and connections hold

A trailer or chunk extension without end filled the memory of the process. The session now reads requests itself: its buffer holds no more than a header, and the sum of received bytes is bounded by what the body's limit needs in chunks of one byte. The time for the header and for the request counts from the first byte.

traffic_guard accounts for all connections of a process and closes the ones that hold most for longest, never one that is being served. A new connection replaces a slow one instead of being refused.

Responses have the same bound of trailers and extensions. Frame limits are an argument of routers and dealers.

--- a/src/include/egretrack/net/frame_link.h
+++ b/src/include/egretrack/net/frame_link.h
@@ -20,6 +20,16 @@
 // a new id.
 enum class peer_id : std::uint64_t {};
 
+// Limits of a router or a dealer. The defaults fit the roles `entry` and
+// `agent`, whose frames carry requests.
+struct frame_limits {
+  std::size_t frame_bytes = 64U << 20U;  // Of one frame from a peer.
+  int received_frames = 4096;            // Queued per peer.
+  int sent_frames = 4096;                // The same.
+  // Of all frames that other threads have queued for the socket's thread.
+  std::size_t queued_bytes = 256U << 20U;
+};
+
 // Accepting side: the socket of an entry to which all agents connect.
 class frame_router {
  public:
@@ -27,7 +37,8 @@
       std::function<void(peer_id, std::span<const std::byte>)>;
 
   static result<std::unique_ptr<frame_router>> Bind(const tcp_address& address,
-                                                    frame_handler on_frame);
+                                                    frame_handler on_frame,
+                                                    frame_limits limits = {});
   virtual ~frame_router() = default;
   virtual tcp_address local_address() const = 0;
   // Queues a frame. Thread-safe. Drops the frame without an error if the peer
@@ -45,7 +56,8 @@
 
   static result<std::unique_ptr<frame_dealer>> Create(
       std::span<const tcp_address> addresses,
-      frame_handler on_frame);
+      frame_handler on_frame,
+      frame_limits limits = {});
   virtual ~frame_dealer() = default;
   // Closes the link's socket, discards its queued frames and opens a new
   // connection to the same address.
--- a/src/include/egretrack/net/http.h
+++ b/src/include/egretrack/net/http.h
@@ -16,6 +16,8 @@
 // uses Boost.Beast, which this header does not expose.
 namespace egretrack::net {
 
+class traffic_guard;
+
 struct header {
   std::string name;
   std::string value;
@@ -65,16 +67,22 @@
   // Whether the caller had closed its connection, or the sending side of it,
   // when the request was handed to the handler.
   virtual bool was_disconnected() const = 0;
+  // Frees the body of the request, so that it takes no memory until the
+  // response. Must be called by the handler before it passes the exchange on.
+  virtual void DiscardBody() {}
 };
 using http_exchange_ptr = std::shared_ptr<http_exchange>;
 
 struct http_limits {
   std::size_t body_bytes = 32U << 20U;
   std::uint32_t header_bytes = 8192;
-  seconds receive_timeout{10};  // For one complete request.
-  seconds idle_timeout{30};     // Between requests.
-  seconds send_timeout{10};     // Without progress of a write.
+  milliseconds header_timeout{10000};  // From the first byte of a request.
+  seconds receive_timeout{10};         // For one complete request.
+  seconds idle_timeout{30};            // Between requests.
+  seconds send_timeout{10};            // Without progress of a write.
   std::size_t connections = 1024;
+  // Bounds the connections of all servers of the process; may be null.
+  std::shared_ptr<traffic_guard> guard;
 };
 
 struct tcp_address {
@@ -146,6 +154,8 @@
   std::size_t connections_per_address = 64;  // Idle ones in the pool.
   std::size_t max_response_bytes = 16U << 20U;
   milliseconds connect_timeout{1000};
+  // Of the header of a response, and of each trailer and chunk extension.
+  std::uint32_t max_header_bytes = 65536;
 };
 
 class http_client {
--- a/src/net/frame_dealer.cc
+++ b/src/net/frame_dealer.cc
@@ -32,10 +32,11 @@
 };
 
 result<zmq::socket_t> OpenSocket(zmq::context_t& context,
-                                 const tcp_address& address) {
+                                 const tcp_address& address,
+                                 const frame_limits& limits) {
   try {
     zmq::socket_t socket(context, zmq::socket_type::dealer);
-    SetSocketOptions(socket, address);
+    SetSocketOptions(socket, address, limits);
     socket.connect(ZmqEndpoint(address));
     return socket;
   } catch (const zmq::error_t& failure) {
@@ -47,11 +48,13 @@
  public:
   zmq_dealer(zmq::context_t context,
              std::vector<dealer_link> links,
-             frame_handler on_frame)
-      : context_(std::move(context)),
+             frame_handler on_frame,
+             const frame_limits& limits)
+      : limits_(limits),
+        context_(std::move(context)),
         links_(std::move(links)),
         on_frame_(std::move(on_frame)),
-        commands_(kMaxQueuedBytes),
+        commands_(limits.queued_bytes),
         thread_([this] { Run(); }) {}
 
   ~zmq_dealer() override {
@@ -130,7 +133,7 @@
     link.socket.reset();
     // The link of an address that cannot be connected to stays closed; its user
     // gets no reply and tries again.
-    if (auto socket = OpenSocket(context_, link.address))
+    if (auto socket = OpenSocket(context_, link.address, limits_))
       link.socket = std::move(*socket);
   }
 
@@ -155,6 +158,7 @@
     }
   }
 
+  const frame_limits limits_;
   zmq::context_t context_;
   std::vector<dealer_link> links_;  // Accessed only by thread_.
   const frame_handler on_frame_;
@@ -167,17 +171,18 @@
 
 result<std::unique_ptr<frame_dealer>> frame_dealer::Create(
     std::span<const tcp_address> addresses,
-    frame_handler on_frame) {
+    frame_handler on_frame,
+    frame_limits limits) {
   zmq::context_t context;
   std::vector<dealer_link> links;
   for (const tcp_address& address : addresses) {
-    auto socket = OpenSocket(context, address);
+    auto socket = OpenSocket(context, address, limits);
     if (!socket)
       return socket.error();
     links.push_back({address, std::move(*socket)});
   }
   return std::make_unique<zmq_dealer>(std::move(context), std::move(links),
-                                      std::move(on_frame));
+                                      std::move(on_frame), limits);
 }
 
 }  // namespace egretrack::net
--- a/src/net/frame_router.cc
+++ b/src/net/frame_router.cc
@@ -50,12 +50,13 @@
   zmq_router(zmq::context_t context,
              zmq::socket_t socket,
              tcp_address local,
-             frame_handler on_frame)
+             frame_handler on_frame,
+             const frame_limits& limits)
       : context_(std::move(context)),
         socket_(std::move(socket)),
         local_address_(std::move(local)),
         on_frame_(std::move(on_frame)),
-        outgoing_(kMaxQueuedBytes),
+        outgoing_(limits.queued_bytes),
         thread_([this] { Run(); }) {}
 
   ~zmq_router() override {
@@ -139,16 +140,18 @@
 
 result<std::unique_ptr<frame_router>> frame_router::Bind(
     const tcp_address& address,
-    frame_handler on_frame) {
+    frame_handler on_frame,
+    frame_limits limits) {
   try {
     zmq::context_t context;
     zmq::socket_t socket(context, zmq::socket_type::router);
-    SetSocketOptions(socket, address);
+    SetSocketOptions(socket, address, limits);
     socket.set(zmq::sockopt::router_mandatory, true);
     socket.bind(ZmqEndpoint(address));
     tcp_address local{address.host, BoundPort(socket)};
     return std::make_unique<zmq_router>(std::move(context), std::move(socket),
-                                        std::move(local), std::move(on_frame));
+                                        std::move(local), std::move(on_frame),
+                                        limits);
   } catch (const zmq::error_t& failure) {
     return MakeZmqError(failure, address);
   }
--- a/src/net/frame_socket.cc
+++ b/src/net/frame_socket.cc
@@ -5,8 +5,6 @@
 namespace egretrack::net {
 namespace {
 
-constexpr int kHighWaterMark = 4096;               // Frames queued per peer.
-constexpr std::int64_t kMaxFrameBytes = 64 << 20;  // Limit of the wire codec.
 constexpr milliseconds kHeartbeatInterval{1000};
 constexpr milliseconds kHeartbeatTimeout{3000};
 // Closes connections that don't complete the ZeroMQ handshake.
@@ -26,11 +24,14 @@
 
 }  // namespace
 
-void SetSocketOptions(zmq::socket_t& socket, const tcp_address& address) {
+void SetSocketOptions(zmq::socket_t& socket,
+                      const tcp_address& address,
+                      const frame_limits& limits) {
   socket.set(zmq::sockopt::linger, 0);
-  socket.set(zmq::sockopt::sndhwm, kHighWaterMark);
-  socket.set(zmq::sockopt::rcvhwm, kHighWaterMark);
-  socket.set(zmq::sockopt::maxmsgsize, kMaxFrameBytes);
+  socket.set(zmq::sockopt::sndhwm, limits.sent_frames);
+  socket.set(zmq::sockopt::rcvhwm, limits.received_frames);
+  socket.set(zmq::sockopt::maxmsgsize,
+             static_cast<std::int64_t>(limits.frame_bytes));
   socket.set(zmq::sockopt::heartbeat_ivl, ToMs(kHeartbeatInterval));
   socket.set(zmq::sockopt::heartbeat_timeout, ToMs(kHeartbeatTimeout));
   socket.set(zmq::sockopt::handshake_ivl, ToMs(kHandshakeTimeout));
--- a/src/net/frame_socket.h
+++ b/src/net/frame_socket.h
@@ -9,21 +9,20 @@
 #include <zmq.hpp>
 
 #include "egretrack/base/error.h"
+#include "egretrack/net/frame_link.h"
 #include "egretrack/net/http.h"
 
 // Socket functions and limits shared by the router and the dealer.
 namespace egretrack::net {
 
-// Maximum total size of the frames that other threads have queued for the
-// socket's thread.
-inline constexpr std::size_t kMaxQueuedBytes = 256U << 20U;
-
 // Maximum number of frames received in one iteration of the socket's thread, so
 // that a burst of input does not delay sending.
 inline constexpr int kFramesPerIteration = 256;
 
-// Sets the queue limits and timeouts of a socket.
-void SetSocketOptions(zmq::socket_t& socket, const tcp_address& address);
+// Sets the limits and timeouts of a socket.
+void SetSocketOptions(zmq::socket_t& socket,
+                      const tcp_address& address,
+                      const frame_limits& limits);
 
 // Formats "tcp://host:port", with brackets around an IPv6 address.
 std::string ZmqEndpoint(const tcp_address& address);
--- a/src/net/http_call.cc
+++ b/src/net/http_call.cc
@@ -15,12 +15,14 @@
 namespace http = boost::beast::http;
 using asio::ip::tcp;
 
-constexpr std::uint32_t kMaxHeaderBytes = 65536;
+// Room for the bytes of one read behind a header of the largest size.
+constexpr std::size_t kReadBufferBytes = 4096;
 constexpr unsigned kFirstFinalStatus = 200;
 
 std::error_code ToErrc(const boost::system::error_code& failure) {
   if (failure == http::error::body_limit ||
-      failure == http::error::header_limit)
+      failure == http::error::header_limit ||
+      failure == http::error::buffer_overflow)
     return errc::kTooLarge;
   const bool truncated = failure == http::error::end_of_stream ||
                          failure == http::error::partial_message;
@@ -47,7 +49,9 @@
       call_timer_(socket_.get_executor()),
       connect_timer_(socket_.get_executor()),
       message_(ToBeast(std::move(request), address)),
-      serializer_(message_) {
+      serializer_(message_),
+      // Bounds a header, a chunk extension or a trailer of the response.
+      buffer_(client_->options.max_header_bytes + kReadBufferBytes) {
   const std::lock_guard lock(client_->mutex);
   client_->calls.insert(this);
 }
@@ -146,7 +150,7 @@
 
 void http_call::ReadHeader() {
   parser_.emplace();
-  parser_->header_limit(kMaxHeaderBytes);
+  parser_->header_limit(client_->options.max_header_bytes);
   parser_->body_limit(client_->options.max_response_bytes);
   http::async_read_header(
       socket_, buffer_, *parser_,
--- a/src/net/http_server.cc
+++ b/src/net/http_server.cc
@@ -17,7 +17,7 @@
 constexpr milliseconds kAcceptRetryDelay{100};
 // Connections beyond the limit that get a 503 response. Any further ones are
 // closed without a response.
-constexpr std::size_t kMaxRejectedConnections = 64;
+constexpr std::size_t kMaxRejectedConnections = 16;
 
 // Accepts connections. Its pending operation keeps it alive.
 class listener : public std::enable_shared_from_this<listener> {
@@ -100,7 +100,7 @@
       return;  // Destroying the socket closes it.
     const auto session =
         std::make_shared<http_session>(server_, std::move(connection));
-    if (server_->served_connections >= limit)
+    if (!session->Admit())
       return session->Reject();
     session->Start();
   }
@@ -184,7 +184,7 @@
     unsigned threads,
     http_limits limits,
     handler on_request) {
-  auto bound = Bind(address, threads, limits, std::move(on_request));
+  auto bound = Bind(address, threads, std::move(limits), std::move(on_request));
   if (!bound)
     return bound;
   if (const auto open = (*bound)->StartAccepting(); !open)
@@ -197,7 +197,7 @@
     unsigned threads,
     http_limits limits,
     handler on_request) {
-  auto state = std::make_shared<http_server_state>(threads, limits,
+  auto state = std::make_shared<http_server_state>(threads, std::move(limits),
                                                    std::move(on_request));
   auto acceptor = std::make_shared<listener>(state);
   const error_code failure = acceptor->Bind(address);
--- a/src/net/http_session.cc
+++ b/src/net/http_session.cc
@@ -1,6 +1,8 @@
 #include "net/http_session.h"
 
+#include <algorithm>
 #include <exception>
+#include <functional>
 #include <string>
 #include <utility>
 
@@ -8,9 +10,10 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "net/connection_ledger.h"
+
 namespace egretrack::net {
 namespace {
 
@@ -18,9 +21,8 @@
 namespace http = boost::beast::http;
 
 constexpr std::size_t kReadBufferBytes = 4096;
-// A composed read that is between two socket reads is not affected by
-// cancel(), so it is cancelled again after this interval.
-constexpr milliseconds kCancelRetryInterval{50};
+// Encoded bytes of a body that is sent in chunks of one byte, per byte.
+constexpr std::size_t kMaxChunkOverhead = 6;
 // Time for which input is discarded after the last response. Closing a socket
 // with unread input resets the connection, and the peer could lose the
 // response.
@@ -84,10 +86,15 @@
 
   bool was_disconnected() const override { return was_disconnected_; }
 
+  void DiscardBody() override {
+    std::string().swap(request_.body);
+    session_->ReportBodyDiscarded(request_number_);
+  }
+
  private:
   const std::shared_ptr<http_session> session_;
   const std::uint64_t request_number_;
-  const http_request request_;
+  http_request request_;
   const bool was_disconnected_;
   std::atomic<bool> responded_ = false;
 };
@@ -98,7 +105,10 @@
                            socket connection)
     : server_(std::move(server)),
       socket_(std::move(connection)),
-      timer_(socket_.get_executor()) {
+      timer_(socket_.get_executor()),
+      // Bounds a header, a chunk extension or a trailer. A body does not stay
+      // in this buffer.
+      buffer_(server_->limits.header_bytes + kReadBufferBytes) {
   const std::lock_guard lock(server_->mutex);
   server_->sessions.insert(this);
 }
@@ -106,6 +116,7 @@
 http_session::~http_session() {
   EndRequest();
   EndServing();
+  LeaveGuard();
   const std::lock_guard lock(server_->mutex);
   server_->sessions.erase(this);
 }
@@ -117,10 +128,23 @@
   asio::post(socket_.get_executor(),
              [self = shared_from_this(), action = std::move(action)]() mutable {
                if (self->phase_ != phase::kClosed)
-                 action(*self);
+                 std::invoke(action, *self);
              });
 }
 
+bool http_session::Admit() {
+  const auto& guard = server_->limits.guard;
+  if (!guard)
+    return server_->served_connections < server_->limits.connections;
+  guard_number_ = guard->Open(server_.get(), server_->limits.connections,
+                              [weak = weak_from_this()] {
+                                const auto self = weak.lock();
+                                if (self)
+                                  self->PostToStrand(&http_session::Close);
+                              });
+  return guard_number_.has_value();
+}
+
 void http_session::Start() {
   serving_ = true;
   ++server_->served_connections;
@@ -159,29 +183,55 @@
 
 // ---- Receiving ------------------------------------------------------------
 
+void http_session::Enter(phase next, std::size_t held_bytes) {
+  phase_ = next;
+  if (!guard_number_)
+    return;
+  connection_phase reported = connection_phase::kSending;
+  if (next == phase::kReceiving)
+    reported = connection_phase::kReceiving;
+  else if (next == phase::kWaiting)
+    reported = connection_phase::kServing;
+  else if (next == phase::kIdle && request_number_ > 0)
+    reported = connection_phase::kIdle;
+  else if (next == phase::kIdle)
+    reported = connection_phase::kReceiving;
+  server_->limits.guard->Update(*guard_number_, reported, held_bytes);
+}
+
+void http_session::CountLimit(traffic_limit limit) {
+  if (server_->limits.guard)
+    server_->limits.guard->Count(limit);
+}
+
 void http_session::ReadRequest() {
   if (server_->stopping)
     return Close();
   parser_.emplace();
   parser_->header_limit(server_->limits.header_bytes);
   parser_->body_limit(server_->limits.body_bytes);
-  timed_out_ = false;
+  header_read_ = false;
+  request_bytes_ = buffer_.size();
   if (buffer_.size() > 0)
-    return ReadHeader();
-  phase_ = phase::kIdle;
+    return BeginRequest();
+  // A pending read uses the memory of the buffer.
+  if (!read_pending_)
+    buffer_.shrink_to_fit();
+  Enter(phase::kIdle, 0);
   timer_.Start(server_->limits.idle_timeout,
                [self = shared_from_this()] { self->Close(); });
   if (!read_pending_)
     ReadSome();
 }
 
-// Reads input in the phases idle, waiting and lingering. A read that started
-// while a request awaited its response continues as the read for the next
-// request.
+// The only read of a session. One that started while a request awaited its
+// response continues as the read for the next request.
 void http_session::ReadSome() {
   read_pending_ = true;
+  const std::size_t size =
+      std::min(kReadBufferBytes, buffer_.max_size() - buffer_.size());
   socket_.async_read_some(
-      buffer_.prepare(kReadBufferBytes),
+      buffer_.prepare(size),
       [self = shared_from_this()](const error_code& failure, std::size_t size) {
         self->OnSomeRead(failure, size);
       });
@@ -192,14 +242,17 @@
   buffer_.commit(size);
   switch (phase_) {
     case phase::kIdle:
-      return failure ? Close() : ReadHeader();
+      request_bytes_ += size;
+      return failure ? Close() : BeginRequest();
+    case phase::kReceiving:
+      request_bytes_ += size;
+      return failure ? OnReceiveFailure(failure) : ParseInput();
     case phase::kWaiting:
     case phase::kResponding:
       return OnInputWhileWaiting(failure);
     case phase::kLingering:
       buffer_.clear();
       return failure ? Close() : ReadSome();
-    case phase::kReceiving:
     case phase::kClosed:
       return;
   }
@@ -217,77 +270,123 @@
   // requests are read one at a time.
 }
 
-void http_session::ReadHeader() {
-  phase_ = phase::kReceiving;
-  timer_.Start(server_->limits.receive_timeout,
-               [self = shared_from_this()] { self->OnReceiveTimeout(); });
-  http::async_read_header(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this()](const error_code& failure, std::size_t) {
-        self->OnHeader(failure);
-      });
+void http_session::BeginRequest() {
+  request_began_ = monotonic_clock::now();
+  const microseconds receive_timeout = server_->limits.receive_timeout;
+  timer_.Start(
+      std::min<microseconds>(server_->limits.header_timeout, receive_timeout),
+      [self = shared_from_this()] { self->OnHeaderTimeout(); });
+  Enter(phase::kReceiving, request_bytes_);
+  ParseInput();
 }
 
-void http_session::OnReceiveTimeout() {
-  timed_out_ = true;
-  socket_.cancel();
-  timer_.Start(kCancelRetryInterval,
-               [self = shared_from_this()] { self->OnReceiveTimeout(); });
+// Both timers count from the first byte of the request, so that a trickle of
+// bytes does not extend them.
+void http_session::OnHeaderTimeout() {
+  OnReceiveTimeout(traffic_limit::kHeaderTime);
 }
 
-void http_session::OnHeader(const error_code& failure) {
-  if (phase_ == phase::kClosed)
-    return;
-  if (failure)
-    return OnReceiveFailure(failure);
+void http_session::OnReceiveTimeout(traffic_limit limit) {
+  CountLimit(limit);
+  if (awaits_continue_)
+    return Close();
+  SendErrorResponse(408, "request_timeout", "the request was not sent in time");
+}
+
+void http_session::ParseInput() {
+  while (ParsePart()) {
+  }
+}
+
+bool http_session::ParsePart() {
+  if (phase_ != phase::kReceiving || awaits_continue_)
+    return false;
+  parser_->eager(header_read_);
+  error_code failure;
+  if (buffer_.size() > 0 && !parser_->is_done())
+    buffer_.consume(parser_->put(buffer_.data(), failure));
+  if (failure && failure != http::error::need_more) {
+    OnReceiveFailure(failure);
+    return false;
+  }
+  if (!header_read_ && parser_->is_header_done()) {
+    OnHeader();
+    return true;
+  }
+  if (header_read_ && parser_->is_done()) {
+    timer_.Stop();
+    InvokeHandler();
+    return false;
+  }
+  const bool starved = failure == http::error::need_more || buffer_.size() == 0;
+  if (!starved)
+    return true;
+  if (request_bytes_ > MaxRequestBytes() ||
+      buffer_.size() >= buffer_.max_size()) {
+    CountLimit(traffic_limit::kRequestBytes);
+    SendErrorResponse(413, "request_too_large",
+                      "the request is too large for its body");
+    return false;
+  }
+  Enter(phase::kReceiving, HeldRequestBytes());
+  if (!read_pending_ && phase_ == phase::kReceiving)
+    ReadSome();
+  return false;
+}
+
+void http_session::OnHeader() {
+  header_read_ = true;
+  const microseconds elapsed = monotonic_clock::now() - request_began_;
+  const microseconds left = server_->limits.receive_timeout - elapsed;
+  timer_.Start(std::max(left, microseconds(0)), [self = shared_from_this()] {
+    self->OnReceiveTimeout(traffic_limit::kRequestTime);
+  });
   const auto& message = parser_->get();
   const bool expects_continue =
       message.version() >= 11 &&
       boost::beast::iequals(message[http::field::expect], "100-continue");
   if (!expects_continue)
-    return ReadBody();
+    return;
+  awaits_continue_ = true;
   asio::async_write(
       socket_, asio::buffer(kContinue),
       [self = shared_from_this()](const error_code& error, std::size_t) {
-        return error ? self->Close() : self->ReadBody();
+        self->awaits_continue_ = false;
+        if (self->phase_ == phase::kReceiving)
+          return error ? self->Close() : self->ParseInput();
       });
 }
 
-void http_session::ReadBody() {
-  if (phase_ == phase::kClosed)
-    return;
-  http::async_read(
-      socket_, buffer_, *parser_,
-      [self = shared_from_this()](const error_code& failure, std::size_t) {
-        self->OnRequest(failure);
-      });
-}
-
-void http_session::OnRequest(const error_code& failure) {
-  if (phase_ == phase::kClosed)
-    return;
-  if (failure)
-    return OnReceiveFailure(failure);
-  timer_.Stop();
-  InvokeHandler();
-}
-
 void http_session::OnReceiveFailure(const error_code& failure) {
-  if (timed_out_)
-    return SendErrorResponse(408, "request_timeout",
-                             "the request was not sent in time");
-  if (failure == http::error::body_limit)
+  if (failure == http::error::body_limit) {
+    CountLimit(traffic_limit::kBodyBytes);
     return SendErrorResponse(413, "body_too_large",
                              "the body of the request is too large");
-  if (failure == http::error::header_limit)
+  }
+  if (failure == http::error::header_limit) {
+    CountLimit(traffic_limit::kHeaderBytes);
     return SendErrorResponse(431, "header_too_large",
                              "the header of the request is too large");
-  if (failure == http::error::end_of_stream)
+  }
+  const bool invalid =
+      failure == asio::error::eof ||
+      failure.category() == make_error_code(http::error::bad_method).category();
+  if (!invalid)
     return Close();
-  if (failure.category() == make_error_code(http::error::bad_method).category())
-    return SendErrorResponse(400, "malformed_request",
-                             "the request is not valid HTTP");
-  Close();
+  SendErrorResponse(400, "malformed_request", "the request is not valid HTTP");
+}
+
+// No encoding of a body within its limit needs more, unless the caller adds
+// chunk extensions or trailers that exceed the limit of a header.
+std::size_t http_session::MaxRequestBytes() const {
+  return 2 * std::size_t{server_->limits.header_bytes} +
+         kMaxChunkOverhead * server_->limits.body_bytes + kReadBufferBytes;
+}
+
+std::size_t http_session::HeldRequestBytes() const {
+  return buffer_.capacity() +
+         (header_read_ ? parser_->get().body().size() : 0) +
+         std::min<std::size_t>(request_bytes_, server_->limits.header_bytes);
 }
 
 // A process that was suspended reads a request whose caller may have given up
@@ -308,8 +407,9 @@
   format_ = {.version = message.version(),
              .keep_alive = keep_alive_,
              .omit_body = message.method() == http::verb::head};
-  phase_ = phase::kWaiting;
   ++request_number_;
+  const std::size_t body_bytes = message.body().size();
+  Enter(phase::kWaiting, body_bytes);
   request_open_ = true;
   ++server_->open_requests;
   const bool peer_closed = HasPeerClosed();
@@ -350,6 +450,14 @@
   });
 }
 
+void http_session::ReportBodyDiscarded(std::uint64_t request_number) {
+  PostToStrand([request_number](http_session& self) {
+    if (self.request_number_ == request_number &&
+        self.phase_ == phase::kWaiting)
+      self.Enter(phase::kWaiting, 0);
+  });
+}
+
 void http_session::AbortRequest(std::uint64_t request_number) {
   PostToStrand([request_number](http_session& self) {
     if (self.request_number_ == request_number &&
@@ -373,7 +481,7 @@
 
 void http_session::SendFinal(http_response response) {
   on_disconnect_ = nullptr;
-  phase_ = phase::kResponding;
+  Enter(phase::kResponding, response.body.size());
   if (server_->draining || server_->keep_alive_disabled)
     keep_alive_ = false;
   format_.keep_alive = keep_alive_;
@@ -402,8 +510,10 @@
 }
 
 void http_session::WriteSome() {
-  timer_.Start(server_->limits.send_timeout,
-               [self = shared_from_this()] { self->Close(); });
+  timer_.Start(server_->limits.send_timeout, [self = shared_from_this()] {
+    self->CountLimit(traffic_limit::kSendTime);
+    self->Close();
+  });
   http::async_write_some(
       socket_, *serializer_,
       [self = shared_from_this()](const error_code& failure, std::size_t) {
@@ -437,7 +547,7 @@
 // ---- Ending ---------------------------------------------------------------
 
 void http_session::Linger() {
-  phase_ = phase::kLingering;
+  Enter(phase::kLingering, 0);
   error_code failure;
   socket_.shutdown(socket::shutdown_send, failure);
   if (failure || peer_closed_)
@@ -459,6 +569,12 @@
   NotifyDisconnect();
   EndRequest();
   EndServing();
+  LeaveGuard();
+}
+
+void http_session::LeaveGuard() {
+  if (guard_number_)
+    server_->limits.guard->Close(*std::exchange(guard_number_, std::nullopt));
 }
 
 void http_session::NotifyDisconnect() {
--- a/src/net/http_session.h
+++ b/src/net/http_session.h
@@ -17,6 +17,7 @@
 #include <boost/beast/http/serializer.hpp>
 
 #include "egretrack/net/http.h"
+#include "egretrack/net/traffic_guard.h"
 #include "net/http_convert.h"
 #include "net/io_threads.h"
 #include "net/timeout_timer.h"
@@ -29,9 +30,11 @@
 // request handler holds an exchange.
 struct http_server_state {
   http_server_state(unsigned threads,
-                    const http_limits& bounds,
+                    http_limits bounds,
                     http_server::handler handler)
-      : io(threads), limits(bounds), on_request(std::move(handler)) {}
+      : io(threads),
+        limits(std::move(bounds)),
+        on_request(std::move(handler)) {}
 
   io_threads io;
   const http_limits limits;
@@ -61,6 +64,8 @@
   http_session(const http_session&) = delete;
   http_session& operator=(const http_session&) = delete;
 
+  // Returns whether the limits of connections allow to serve this one.
+  bool Admit();
   // Serves requests until the connection ends.
   void Start();
   // Sends a 503 response for too many connections without reading a request,
@@ -76,6 +81,7 @@
   // request are ignored.
   void Respond(std::uint64_t request_number, http_response response);
   void SendInformational(std::uint64_t request_number, http_response response);
+  void ReportBodyDiscarded(std::uint64_t request_number);
   void AbortRequest(std::uint64_t request_number);
   void OnDisconnect(std::uint64_t request_number,
                     std::function<void()> callback);
@@ -97,16 +103,25 @@
   template <typename Action>
   void PostToStrand(Action action);
 
+  // Enters a phase and reports the bytes held in it.
+  void Enter(phase next, std::size_t held_bytes);
+  void CountLimit(traffic_limit limit);
+
   void ReadRequest();
   void ReadSome();
   void OnSomeRead(const error_code& failure, std::size_t size);
   void OnInputWhileWaiting(const error_code& failure);
-  void ReadHeader();
-  void OnReceiveTimeout();
-  void OnHeader(const error_code& failure);
-  void ReadBody();
-  void OnRequest(const error_code& failure);
+  void BeginRequest();
+  void ParseInput();
+  // Returns false if the request is finished or rejected.
+  bool ParsePart();
+  void OnHeader();
+  void OnHeaderTimeout();
+  void OnReceiveTimeout(traffic_limit limit);
   void OnReceiveFailure(const error_code& failure);
+  std::size_t MaxRequestBytes() const;
+  // Memory of the request that is being received.
+  std::size_t HeldRequestBytes() const;
   bool HasPeerClosed();
   void InvokeHandler();
 
@@ -125,6 +140,7 @@
   void NotifyDisconnect();
   void EndRequest();
   void EndServing();
+  void LeaveGuard();
 
   const std::shared_ptr<http_server_state> server_;
   socket socket_;
@@ -136,8 +152,12 @@
       parser_;
   bool serving_ = false;
   bool read_pending_ = false;
-  bool timed_out_ = false;
   bool peer_closed_ = false;
+  bool header_read_ = false;
+  bool awaits_continue_ = false;   // Until "100 Continue" is sent.
+  std::size_t request_bytes_ = 0;  // Received of the current request.
+  monotonic_time request_began_{};
+  std::optional<connection_number> guard_number_;
 
   // State of the current request.
   std::uint64_t request_number_ = 0;
