Derive limits of entries and agents from their machine

Ports that need no body take 4,096 bytes. Frames between entries and agents are at most 1 MiB, of which 16 are queued per peer.

A counter per limit and one rate-limited log event limit_exceeded tell of such clients. The attacks now run with the limits of a small machine; their clients and bounds are as before.

--- a/src/hostile_clients/attack_table.cc
+++ b/src/hostile_clients/attack_table.cc
@@ -157,10 +157,12 @@
 constexpr std::array kAgentsPort{attacked_port::kAgents};
 
 // A machine with 400 descriptors, of which the platform keeps 200 for files.
-constexpr std::string_view kFewConnections = "connections = 100\n";
+constexpr std::string_view kFewConnections =
+    "connections = 100\nmemory_mb = 120\nmax_fds = 400\n";
 constexpr std::size_t kFewDescriptors = 200;
 // Each wide job needs a connection of its caller.
-constexpr std::string_view kManyConnections = "connections = 2000\n";
+constexpr std::string_view kManyConnections =
+    "connections = 2000\nmemory_mb = 120\n";
 constexpr std::size_t kManyDescriptors = 2200;
 
 constexpr attack FewClients(std::string_view name,
--- a/src/include/egretrack/settings/settings.h
+++ b/src/include/egretrack/settings/settings.h
@@ -132,6 +132,9 @@
   double stop_grace_s = 0;       // Time from the stop signal to the kill.
   std::string ports_file;
   log_settings log;
+  // Of the machine; the smallest one has 120 MB.
+  std::size_t memory_mb = 120;
+  std::size_t max_fds = 4096;
 };
 
 // Table [job_agent] of a file with role = "job_agent", beside one worker.
@@ -155,6 +158,9 @@
   double stop_grace_s = 0;       // Time from the stop signal to the kill.
   std::string ports_file;
   log_settings log;
+  // Of the machine.
+  std::size_t memory_mb = 128;
+  std::size_t max_fds = 4096;
 };
 
 using daemon_settings = std::variant<entry_settings,
--- a/src/job_agent/job_agent_control.cc
+++ b/src/job_agent/job_agent_control.cc
@@ -38,6 +38,7 @@
     events::Call(*this, event, now);
   const monotonic_time wakeup = core_->Advance(now, commands_);
   PerformCommands(now);
+  ReportLimits(now);
   log_.ReportSuppressed(now);
   ReadWorker();
   return std::min(wakeup, ReadEntries(now));
@@ -162,6 +163,7 @@
   count("egretrack_malformed_frames_total",
         dependencies_.traffic.malformed_frames);
   count("egretrack_bad_reports_total", dependencies_.traffic.bad_reports);
+  AddLimitMetrics();
   count("egretrack_log_lines_left_out_total", log_.suppressed());
   const scheduler::supervisor_gauges gauges = core_->gauges();
   const auto gauge = [this](std::string_view name, double value) {
@@ -262,4 +264,28 @@
   log_.Write(event, explains_failure, "", fields, now);
 }
 
+void job_agent_control::AddLimitMetrics() {
+  const net::traffic_guard& guard = dependencies_.guard;
+  for (std::size_t index = 0; index < net::kTrafficLimitCount; ++index) {
+    const auto limit = static_cast<net::traffic_limit>(index);
+    metrics_->SetCounter("egretrack_limit_exceeded_total",
+                         "limit=\"" + std::string(net::Name(limit)) + "\"",
+                         guard.count(limit));
+  }
+  metrics_->SetGauge("egretrack_connections", "",
+                     static_cast<double>(guard.connections()));
+  metrics_->SetGauge("egretrack_connection_bytes", "",
+                     static_cast<double>(guard.held_bytes()));
+}
+
+void job_agent_control::ReportLimits(monotonic_time now) {
+  for (const auto& change : limit_report_.Take(dependencies_.guard, now)) {
+    LogEvent("limit_exceeded", true,
+             {{"limit", std::string(net::Name(change.limit))},
+              {"count", static_cast<std::int64_t>(change.count)},
+              {"total", static_cast<std::int64_t>(change.total)}},
+             now);
+  }
+}
+
 }  // namespace egretrack::job_agent
--- a/src/job_agent/job_agent_control.h
+++ b/src/job_agent/job_agent_control.h
@@ -13,6 +13,8 @@
 #include "egretrack/base/mailbox.h"
 #include "egretrack/net/frame_link.h"
 #include "egretrack/net/http.h"
+#include "egretrack/net/limit_report.h"
+#include "egretrack/net/traffic_guard.h"
 #include "egretrack/scheduler/run_supervisor.h"
 #include "egretrack/telemetry/event_log.h"
 #include "egretrack/telemetry/metrics.h"
@@ -62,6 +64,7 @@
   net::frame_dealer& entries;
   worker_client& worker;
   const traffic_counters& traffic;
+  const net::traffic_guard& guard;
   std::function<void()> on_drained;
 };
 
@@ -104,6 +107,8 @@
   void FinishDrain(scheduler::agent_drain_finished& command,
                    monotonic_time& now);
   void PerformCommands(monotonic_time now);
+  void AddLimitMetrics();
+  void ReportLimits(monotonic_time now);
   void LogEvent(std::string_view event,
                 bool explains_failure,
                 std::vector<event_field> fields,
@@ -113,6 +118,7 @@
   const control_dependencies dependencies_;
   const std::unique_ptr<telemetry::metrics> metrics_;
   telemetry::event_log log_;
+  net::limit_report limit_report_;
   std::vector<scheduler::supervisor_command> commands_;
   bool worker_read_started_ = false;
   bool entries_loaded_ = false;
--- a/src/job_agent/job_agent_process.cc
+++ b/src/job_agent/job_agent_process.cc
@@ -11,6 +11,7 @@
 #include "egretrack/job_agent/job_agent.h"
 #include "egretrack/net/frame_link.h"
 #include "egretrack/net/http.h"
+#include "egretrack/net/traffic_guard.h"
 #include "egretrack/scheduler/deployment_limits.h"
 #include "egretrack/wire/run_codec.h"
 #include "job_agent/job_agent_control.h"
@@ -23,7 +24,15 @@
 
 constexpr unsigned kHttpThreads = 1;
 constexpr std::size_t kMaxRequestBytes = 65536;
+constexpr std::uint32_t kMaxHeaderBytes = 16384;
+constexpr std::size_t kMaxInternalBodyBytes = 4096;
 constexpr std::size_t kMaxConnections = 32;
+constexpr milliseconds kHeaderTimeout{4000};
+// As at an entry, whose frames are smaller.
+constexpr net::frame_limits kFrameLimits{.frame_bytes = 1U << 20U,
+                                         .received_frames = 64,
+                                         .sent_frames = 1024,
+                                         .queued_bytes = 8U << 20U};
 constexpr unsigned kOk = 200;
 constexpr unsigned kBadRequest = 400;
 constexpr unsigned kNotFound = 404;
@@ -76,7 +85,10 @@
 class process final : public job_agent_process {
  public:
   explicit process(settings::job_agent_settings settings)
-      : settings_(std::move(settings)), events_(settings_.mailbox_capacity) {}
+      : settings_(std::move(settings)),
+        events_(settings_.mailbox_capacity),
+        guard_(std::make_shared<net::traffic_guard>(
+            net::BudgetOfMachine(settings_.memory_mb, settings_.max_fds))) {}
   process(const process&) = delete;
   process& operator=(const process&) = delete;
 
@@ -102,9 +114,11 @@
     if (!core)
       return core.error();
     auto dealer = net::frame_dealer::Create(
-        {}, [this](std::uint32_t link, std::span<const std::byte> bytes) {
+        {},
+        [this](std::uint32_t link, std::span<const std::byte> bytes) {
           OnFrame(link, bytes);
-        });
+        },
+        kFrameLimits);
     if (!dealer)
       return dealer.error();
     dealer_ = std::move(*dealer);
@@ -138,7 +152,7 @@
     control_ = std::make_unique<job_agent_control>(
         std::move(core),
         control_dependencies{settings_.id, events_, *store_, *dealer_, *worker_,
-                             traffic_, [this] { OnDrained(); }});
+                             traffic_, *guard_, [this] { OnDrained(); }});
     events_.PushRequired(scheduler::supervisor_event(
         scheduler::entries_discovered{SeedMembers(settings_)}));
     loop_ = std::make_unique<control_loop<control_event>>(
@@ -157,7 +171,10 @@
       return internal.error();
     net::http_limits limits;
     limits.body_bytes = kMaxRequestBytes;
+    limits.header_bytes = kMaxHeaderBytes;
+    limits.header_timeout = kHeaderTimeout;
     limits.connections = kMaxConnections;
+    limits.guard = guard_;
     auto reports_server = net::http_server::Listen(
         *reports, kHttpThreads, limits,
         [this](const net::http_exchange_ptr& exchange) {
@@ -166,6 +183,7 @@
     if (!reports_server)
       return reports_server.error();
     reports_server_ = std::move(*reports_server);
+    limits.body_bytes = kMaxInternalBodyBytes;
     auto internal_server =
         net::http_server::Listen(*internal, kHttpThreads, limits,
                                  [this](net::http_exchange_ptr exchange) {
@@ -230,6 +248,7 @@
   const settings::job_agent_settings settings_;
   control_mailbox events_;
   traffic_counters traffic_;
+  const std::shared_ptr<net::traffic_guard> guard_;
   std::unique_ptr<platform::store_client> store_;
   std::unique_ptr<net::frame_dealer> dealer_;
   std::unique_ptr<worker_client> worker_;
--- a/src/job_agent/worker_client.cc
+++ b/src/job_agent/worker_client.cc
@@ -16,13 +16,19 @@
 constexpr milliseconds kPollTimeoutMargin{20};
 // One for polls, eight for starts, one for stops.
 constexpr std::size_t kConnections = 10;
+// A poll lists the runs of one worker, some hundred at most.
+constexpr std::size_t kMaxResponseBytes = 1U << 20U;
+constexpr std::uint32_t kMaxHeaderBytes = 16384;
 
 }  // namespace
 
 worker_client::worker_client(event_sink on_event)
     : on_event_(std::move(on_event)),
       client_(net::http_client::Create({.connections_per_address = kConnections,
-                                        .connect_timeout = kCallTimeout})) {}
+                                        .max_response_bytes = kMaxResponseBytes,
+                                        .connect_timeout = kCallTimeout,
+                                        .max_header_bytes = kMaxHeaderBytes})) {
+}
 
 void worker_client::Start(const scheduler::start_run& command) {
   Call(command.target, platform::EncodeStart(command), kCallTimeout,
--- a/src/job_entry/job_entry_control.cc
+++ b/src/job_entry/job_entry_control.cc
@@ -101,6 +101,7 @@
       std::min({wakeup, configuration_table_.Advance(now),
                 members_table_.Advance(now), RequestPeerConfiguration(now)});
   Register(now);
+  ReportLimits(now);
   log_.ReportSuppressed(now);
   return wakeup;
 }
@@ -109,6 +110,8 @@
 
 void job_entry_control::OnCallerRequest(caller_request& event,
                                         monotonic_time& now) {
+  // The event holds what was decoded from the body.
+  event.exchange->DiscardBody();
   exchanges_.emplace(event.caller, std::move(event.exchange));
   core_->Handle(std::move(event.event), now, commands_);
 }
@@ -449,6 +452,8 @@
   count("egretrack_abandoned_requests_total",
         dependencies_.traffic.abandoned_requests);
   count("egretrack_store_rows_invalid_total", invalid_rows_);
+  count("egretrack_jobs_over_limit_total", counters.jobs_over_limit);
+  AddLimitMetrics();
   count("egretrack_log_lines_left_out_total", log_.suppressed());
   for (const auto& [labels, value] : job_outcome_counts_)
     metrics_->SetCounter("egretrack_jobs_ended_total", labels, value);
@@ -457,6 +462,7 @@
     metrics_->SetGauge(name, "", value);
   };
   gauge("egretrack_jobs", static_cast<double>(gauges.jobs));
+  gauge("egretrack_job_bytes", static_cast<double>(gauges.job_bytes));
   gauge("egretrack_tasks_outstanding",
         static_cast<double>(gauges.tasks_outstanding));
   gauge("egretrack_tasks_waiting", static_cast<double>(gauges.tasks_waiting));
@@ -471,4 +477,28 @@
       kOk, {{"Content-Type", "text/plain; version=0.0.4"}}, metrics_->ToText()};
 }
 
+void job_entry_control::AddLimitMetrics() {
+  const net::traffic_guard& guard = dependencies_.guard;
+  for (std::size_t index = 0; index < net::kTrafficLimitCount; ++index) {
+    const auto limit = static_cast<net::traffic_limit>(index);
+    metrics_->SetCounter("egretrack_limit_exceeded_total",
+                         "limit=\"" + std::string(net::Name(limit)) + "\"",
+                         guard.count(limit));
+  }
+  metrics_->SetGauge("egretrack_connections", "",
+                     static_cast<double>(guard.connections()));
+  metrics_->SetGauge("egretrack_connection_bytes", "",
+                     static_cast<double>(guard.held_bytes()));
+}
+
+void job_entry_control::ReportLimits(monotonic_time now) {
+  for (const auto& change : limit_report_.Take(dependencies_.guard, now)) {
+    LogEvent("limit_exceeded", true,
+             {{"limit", std::string(net::Name(change.limit))},
+              {"count", static_cast<std::int64_t>(change.count)},
+              {"total", static_cast<std::int64_t>(change.total)}},
+             now);
+  }
+}
+
 }  // namespace egretrack::job_entry
--- a/src/job_entry/job_entry_control.h
+++ b/src/job_entry/job_entry_control.h
@@ -16,6 +16,8 @@
 #include "egretrack/base/mailbox.h"
 #include "egretrack/net/frame_link.h"
 #include "egretrack/net/http.h"
+#include "egretrack/net/limit_report.h"
+#include "egretrack/net/traffic_guard.h"
 #include "egretrack/scheduler/job_scheduler.h"
 #include "egretrack/telemetry/event_log.h"
 #include "egretrack/telemetry/metrics.h"
@@ -85,6 +87,7 @@
   net::http_client& peers;
   net::frame_router& agents;
   const traffic_counters& traffic;
+  const net::traffic_guard& guard;
   std::atomic<bool>& ready;
   // Starts to accept callers; called once, when the entry can serve them.
   std::function<result<void>()> open_front;
@@ -141,6 +144,8 @@
   void PerformCommands(monotonic_time now);
   net::http_exchange_ptr RemoveExchange(scheduler::caller_token caller);
   net::http_response Metrics();
+  void AddLimitMetrics();
+  void ReportLimits(monotonic_time now);
   net::http_response Configuration(const net::http_request& request) const;
   void LogEvent(std::string_view event,
                 bool explains_failure,
@@ -151,6 +156,7 @@
   control_dependencies dependencies_;
   const std::unique_ptr<telemetry::metrics> metrics_;
   telemetry::event_log log_;
+  net::limit_report limit_report_;
   std::vector<scheduler::scheduler_command> commands_;
   std::unordered_map<scheduler::caller_token, net::http_exchange_ptr>
       exchanges_;
--- a/src/job_entry/job_entry_process.cc
+++ b/src/job_entry/job_entry_process.cc
@@ -12,6 +12,7 @@
 #include "egretrack/job_entry/job_entry.h"
 #include "egretrack/net/frame_link.h"
 #include "egretrack/net/http.h"
+#include "egretrack/net/traffic_guard.h"
 #include "egretrack/scheduler/deployment_limits.h"
 #include "egretrack/wire/run_codec.h"
 #include "job_entry/job_entry_control.h"
@@ -27,6 +28,22 @@
 constexpr std::size_t kMaxInternalConnections = 64;
 constexpr std::size_t kMaxJobBodyBytes = 262144;  // Of a job submission.
 constexpr std::uint32_t kMaxHeaderBytes = 16384;
+// Probes, other entries and operators send a few headers and no body.
+constexpr std::size_t kMaxInternalBodyBytes = 4096;
+constexpr std::uint32_t kMaxInternalHeaderBytes = 8192;
+// Callers are promised 3 s for the header.
+constexpr milliseconds kHeaderTimeout{4000};
+// A frame of an agent lists the runs of one entry, at some 100 bytes each;
+// frames of an entry are smaller. What a peer sends waits here at most until
+// the control thread is handed the frames before it.
+constexpr net::frame_limits kFrameLimits{.frame_bytes = 1U << 20U,
+                                         .received_frames = 16,
+                                         .sent_frames = 1024,
+                                         .queued_bytes = 8U << 20U};
+// The configuration of another entry.
+constexpr std::size_t kMaxPeerResponseBytes = 4U << 20U;
+// Share of the machine's memory that live jobs may take.
+constexpr std::size_t kJobMemoryShare = 4;
 // Longest wait of a drained process for its last responses to be sent.
 constexpr milliseconds kFinalResponsesTimeout{500};
 constexpr milliseconds kIdlePollInterval{20};
@@ -77,6 +94,7 @@
   options.entry_incarnation = NewIncarnation();
   options.failure_domain = settings.failure_domain;
   options.max_jobs = settings.max_jobs;
+  options.max_job_bytes = (settings.memory_mb << 20U) / kJobMemoryShare;
   options.drain_grace = settings.drain_grace;
   options.drain_bound = settings.drain_bound;
   options.drain_end = settings.drain_end;
@@ -94,7 +112,12 @@
         events_(settings_.mailbox_capacity),
         store_(platform::store_client::Create(addresses_.store,
                                               settings_.store_timeout)),
-        peers_(net::http_client::Create({.connections_per_address = 1})) {}
+        guard_(std::make_shared<net::traffic_guard>(
+            net::BudgetOfMachine(settings_.memory_mb, settings_.max_fds))),
+        peers_(net::http_client::Create(
+            {.connections_per_address = 1,
+             .max_response_bytes = kMaxPeerResponseBytes,
+             .max_header_bytes = kMaxHeaderBytes})) {}
   process(const process&) = delete;
   process& operator=(const process&) = delete;
 
@@ -151,7 +174,8 @@
         addresses_.agents,
         [this](net::peer_id peer, std::span<const std::byte> bytes) {
           OnFrame(peer, bytes);
-        });
+        },
+        kFrameLimits);
     if (!bound)
       return bound.error();
     agents_ = std::move(*bound);
@@ -171,6 +195,7 @@
             .peers = *peers_,
             .agents = *agents_,
             .traffic = traffic_,
+            .guard = *guard_,
             .ready = ready_,
             .open_front = [this] { return jobs_server_->StartAccepting(); },
             .close_front = [this] { jobs_server_->Drain(); },
@@ -187,6 +212,10 @@
   result<void> ListenHttp() {
     net::http_limits limits;
     limits.connections = kMaxInternalConnections;
+    limits.body_bytes = kMaxInternalBodyBytes;
+    limits.header_bytes = kMaxInternalHeaderBytes;
+    limits.header_timeout = kHeaderTimeout;
+    limits.guard = guard_;
     auto internal =
         net::http_server::Listen(addresses_.internal, kHttpThreads, limits,
                                  [this](net::http_exchange_ptr exchange) {
@@ -298,6 +327,7 @@
   std::atomic<bool> ready_ = false;
   std::atomic<std::uint64_t> last_caller_ = 0;
   std::unique_ptr<platform::store_client> store_;
+  const std::shared_ptr<net::traffic_guard> guard_;
   std::unique_ptr<net::http_client> peers_;
   std::unique_ptr<net::frame_router> agents_;
   std::unique_ptr<job_entry_control> control_;
--- a/src/settings/job_keys.cc
+++ b/src/settings/job_keys.cc
@@ -37,6 +37,19 @@
   return {.name = name, .target = member, .range = kDeploymentLimit};
 }
 
+template <typename Settings>
+key_rule<Settings> MemoryRule() {
+  return {.name = "memory_mb",
+          .target = &Settings::memory_mb,
+          .range = {64, 1048576}};
+}
+
+template <typename Settings>
+key_rule<Settings> DescriptorsRule() {
+  return {
+      .name = "max_fds", .target = &Settings::max_fds, .range = {300, 1048576}};
+}
+
 }  // namespace
 
 std::span<const key_rule<job_entry_settings>> JobEntryKeys() {
@@ -78,6 +91,8 @@
       DeploymentLimitRule("stop_grace_s", &s::stop_grace_s),
       PortsFileRule<s>(),
       LogRule<s>(),
+      MemoryRule<s>(),
+      DescriptorsRule<s>(),
   };
   return kKeys;
 }
@@ -114,6 +129,8 @@
       DeploymentLimitRule("stop_grace_s", &s::stop_grace_s),
       PortsFileRule<s>(),
       LogRule<s>(),
+      MemoryRule<s>(),
+      DescriptorsRule<s>(),
   };
   return kKeys;
 }
