--- a/src/include/egretrack/scheduler/job_scheduler.h
+++ b/src/include/egretrack/scheduler/job_scheduler.h
@@ -215,6 +215,8 @@
   // First guess of the run time factor on a worker without the task's affinity
   // label; at least 1.
   double far_run_time_factor = 1.5;
+  // Memory of all live jobs; more of them are refused.
+  std::size_t max_job_bytes = 64U << 20U;
 };
 
 struct scheduler_counters {
@@ -232,6 +234,8 @@
   std::uint64_t ejections = 0;
   // Of tasks_returned: because the agent's failure domain is evacuated.
   std::uint64_t tasks_evacuated = 0;
+  // Refused because of the limit of jobs or of their memory.
+  std::uint64_t jobs_over_limit = 0;
 };
 
 // Tasks of one request kind that have an affinity label.
@@ -260,6 +264,7 @@
   std::uint64_t config_version = 0;
   std::int64_t free_cpu_milli = 0;
   std::size_t evacuated_domains = 0;
+  std::size_t job_bytes = 0;  // Memory of the live jobs.
 };
 
 // Does no I/O and has no clock or thread of its own; owned by the control
--- a/src/include/egretrack/settings/settings.h
+++ b/src/include/egretrack/settings/settings.h
@@ -135,6 +135,9 @@
   double far_run_time_factor = 1.5;
   std::string ports_file;
   log_settings log;
+  // Of the machine; the smallest one has 120 MB.
+  std::size_t memory_mb = 120;
+  std::size_t max_fds = 4096;
 };
 
 // Table [job_agent] of a file with role = "job_agent", beside one worker.
@@ -158,6 +161,9 @@
   double stop_grace_s = 0;       // Time from the stop signal to the kill.
   std::string ports_file;
   log_settings log;
+  // Of the machine.
+  std::size_t memory_mb = 128;
+  std::size_t max_fds = 4096;
 };
 
 using daemon_settings = std::variant<entry_settings,
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -17,6 +17,7 @@
 #include "egretrack/scheduler/evacuation_map.h"
 #include "egretrack/scheduler/job_scheduler.h"
 #include "scheduler/job_admission.h"
+#include "scheduler/job_memory.h"
 #include "scheduler/locality_model.h"
 #include "scheduler/locality_wait.h"
 #include "scheduler/placement.h"
@@ -234,6 +235,7 @@
   job_admission admission_;
   locality_model locality_model_;
   reluctance_sequence reluctances_;
+  job_memory job_memory_;
   locality_counters_by_kind locality_counters_;
   start_order start_order_;
 
@@ -249,6 +251,7 @@
   std::set<std::uint64_t> waiting_jobs_;  // With tasks in phase kWaiting.
   std::unordered_map<std::string, cached_answer> cached_answers_;
   std::deque<std::pair<monotonic_time, std::string>> cached_answer_expiry_;
+  std::size_t cached_key_bytes_ = 0;  // In cached_answer_expiry_.
   decision::timer_queue<std::uint64_t> deadlines_;
   std::uint64_t last_job_number_ = 0;
   std::size_t outstanding_ = 0;
--- a/src/scheduler/tests/job_scheduler_test.cc
+++ b/src/scheduler/tests/job_scheduler_test.cc
@@ -449,7 +449,8 @@
 // Guards against answering that a job is unknown although another entry has it,
 // which goes on running it: the connection of a cancellation may reach another
 // entry than that of the submission.
-TEST(JobSchedulerCancellation, SendsTheCancellationOfAnUnknownJobToTheOtherEntries) {
+TEST(JobSchedulerCancellation,
+     SendsTheCancellationOfAnUnknownJobToTheOtherEntries) {
   scheduler_driver driver;
   driver.Configure();
   driver.Handle(members_received{{{"e1", "10.0.0.1:7"}, {"e2", "10.0.0.2:7"}}});
--- a/src/soak/deployment.h
+++ b/src/soak/deployment.h
@@ -32,6 +32,9 @@
   // A run that begins in an evacuated domain after the bound is a violation.
   // For runs without faults that cut agents off or delay calls to workers.
   bool check_evacuations = false;
+  // Lines of TOML that are added to the settings of each entry and agent.
+  std::string entry_settings;
+  std::string agent_settings;
 };
 
 // An entry or agent process, and the relay that disturbs its connections.
--- a/src/standins/child_process.h
+++ b/src/standins/child_process.h
@@ -31,6 +31,7 @@
   // returns when every thread of the process has stopped.
   void Signal(int signal);
   bool IsRunning();
+  pid_t pid() const { return pid_; }
   // Returns the exit code, or 128 plus the number of the signal that ended the
   // process; empty if IsRunning() has not yet seen it end.
   std::optional<int> exit_code() const { return exit_code_; }
