--- a/src/scheduler/job_scheduler_dispatch.cc
+++ b/src/scheduler/job_scheduler_dispatch.cc
@@ -98,12 +98,19 @@
     }
     candidates.push_back(candidate);
   }
-  // The agent on which the last attempt did not succeed is the last choice.
-  if (candidates.size() > 1 && state.avoided_agent != nullptr) {
-    std::erase_if(candidates, [&](const placement_candidate& candidate) {
-      return view_list_[candidate.view_index] == state.avoided_agent;
-    });
-  }
+  // The agent on which the last attempt did not succeed is the last choice,
+  // except before far workers on which the task can no longer start in time.
+  const auto is_avoided = [&](const placement_candidate& candidate) {
+    return view_list_[candidate.view_index] == state.avoided_agent;
+  };
+  const bool has_other =
+      std::ranges::any_of(candidates, [&](const placement_candidate& other) {
+        const bool too_late =
+            other.far && Scale(other.run, kStartByShare) > job.deadline - now_;
+        return !is_avoided(other) && !too_late;
+      });
+  if (has_other)
+    std::erase_if(candidates, is_avoided);
   return candidates;
 }
 
--- a/src/scheduler/tests/job_scheduler_locality_test.cc
+++ b/src/scheduler/tests/job_scheduler_locality_test.cc
@@ -251,6 +251,21 @@
   EXPECT_GT(dispatched[0].dispatch.queue_bound, milliseconds(120));
 }
 
+// Guards against a far start after its start limit, which the agent refuses and
+// which ends the job, because the only near worker has returned the task.
+TEST_F(JobSchedulerLocality, ReturnsToTheOnlyNearWorkerWhenFarIsTooLate) {
+  SendLoad(2, 0, milliseconds(10), true);
+  const auto first = Submit("r1", 1, milliseconds(140));
+  ASSERT_EQ(first.size(), 1U);
+  ASSERT_EQ(first[0].agent, "a1");
+  driver_.AdvanceTime(milliseconds(10));
+  Report(first[0], wire::run_end::kRefused, {}, milliseconds(10),
+         wire::run_reason::kQueuedTooLong);
+  const auto second = driver_.TakeDispatched();
+  ASSERT_EQ(second.size(), 1U);
+  EXPECT_EQ(second[0].agent, "a1");
+}
+
 // Guards against far runs that make a worker, its class or the kind look slow.
 TEST_F(JobSchedulerLocality, KeepsFarRunsOutOfTheRunTimeModel) {
   const auto before = Submit("");
