--- a/src/scheduler/tests/job_scheduler_evacuation_test.cc
+++ b/src/scheduler/tests/job_scheduler_evacuation_test.cc
@@ -100,6 +100,18 @@
   EXPECT_FALSE(LastReply(1).evacuations.empty());
 }
 
+// Guards against an agent that cannot read the entry's clock, and so returns a
+// dispatch as too late, because the message about the evacuation hides the
+// reply to its heartbeat.
+TEST_F(JobSchedulerEvacuation, ReplyToHeartbeatIsLastInFrame) {
+  auto frame = driver_.MakeFrame(1);
+  frame.messages.emplace_back(driver_.MakeHeartbeat());
+  driver_.core->Handle(agent_frame{link_id{1}, std::move(frame)}, driver_.now,
+                       driver_.commands);
+  Receive({{"enna", 5, true}});
+  EXPECT_EQ(LastReply(1).sequence, driver_.last_sequence);
+}
+
 // Guards against an entry without the store that places tasks in a domain which
 // its agents know to be evacuated, and that does not tell its other agents.
 TEST_F(JobSchedulerEvacuation, LearnsFromAgentAndTellsAnother) {
--- a/src/scheduler/tests/run_supervisor_evacuation_test.cc
+++ b/src/scheduler/tests/run_supervisor_evacuation_test.cc
@@ -123,6 +123,30 @@
   EXPECT_EQ(driver_.LastHeartbeat(1)->evacuations, entry_map_.values());
 }
 
+// Guards against an entry that dispatches again and again because it lost the
+// message about the evacuation.
+TEST_F(RunSupervisorEvacuation, RefusalCarriesListToEntryWithoutIt) {
+  Announce(0, {{"palermo", 5, true}});
+  for (int answer = 0; answer < 3; ++answer)
+    driver_.AnswerHeartbeats();
+  const auto before = driver_.LastHeartbeat(1)->sequence;
+  driver_.Dispatch(0, milliseconds(100), 1);
+  EXPECT_EQ(driver_.LastHeartbeat(1)->sequence, before + 1);
+  EXPECT_EQ(driver_.LastHeartbeat(1)->evacuations, entry_map_.values());
+  EXPECT_EQ(driver_.Reports().size(), 1U);
+}
+
+// Guards against an entry that has restarted without the store and is not told
+// again, because the agent believes that the entry has the list.
+TEST_F(RunSupervisorEvacuation, TellsRestartedEntry) {
+  Announce(0, {{"enna", 5, true}});
+  Announce(1, {});
+  EXPECT_TRUE(driver_.LastHeartbeat(1));
+  driver_.RestartEntry(1);
+  driver_.AnswerHeartbeats({1});
+  EXPECT_EQ(driver_.LastHeartbeat(1)->evacuations, entry_map_.values());
+}
+
 // Guards against a domain that stays out of service after the row was removed,
 // and against a late copy of the row that evacuates it again.
 TEST_F(RunSupervisorEvacuation, StartsAgainAfterRemoval) {
