Fix what the reviews of the new parts found

Evacuation: a full read raised the version of every ended evacuation, so that the list went to all processes although nothing had changed; a task that an agent returned as evacuated could go to it again at once; an unanswered start in an evacuated domain counted against the worker's health; domains beyond the bound were not logged when nothing else changed; jobs were refused while the only other workers were silent for a moment.

Admission: a later step's width was ignored while all slots were busy, and wide jobs that were late by far were accepted. Locality: the predicted wait of a worker that lacks memory or accelerators was 0.

--- a/src/include/egretrack/scheduler/evacuation_map.h
+++ b/src/include/egretrack/scheduler/evacuation_map.h
@@ -51,6 +51,8 @@
  private:
   // Version at which a domain without a value is known not to be evacuated.
   std::uint64_t AbsentVersion(const std::string& domain) const;
+  wire::domain_evacuation NotBeforeSnapshot(
+      wire::domain_evacuation value) const;
   bool Adopt(const wire::domain_evacuation& value);
   bool Insert(std::vector<wire::domain_evacuation>::iterator position,
               wire::domain_evacuation value);
--- a/src/scheduler/evacuation_map.cc
+++ b/src/scheduler/evacuation_map.cc
@@ -29,7 +29,9 @@
         std::ranges::find(values, known.domain,
                           &wire::domain_evacuation::domain) != values.end() ||
         std::ranges::find(unreadable, known.domain) != unreadable.end();
-    if (!listed)
+    // The end of an evacuation keeps its version: raising it with each full
+    // read would send the list to every process although nothing has changed.
+    if (known.evacuated && !listed)
       absent.push_back({known.domain, version, false});
   }
   if (version > snapshot_version_) {
@@ -52,15 +54,24 @@
     return Insert(found, value);
   if (value.version <= found->version)
     return false;
-  if (value.evacuated || found->evacuated)
-    changes_.push_back(value);
-  *found = value;
+  wire::domain_evacuation adopted = NotBeforeSnapshot(value);
+  if (adopted.evacuated || found->evacuated)
+    changes_.push_back(adopted);
+  *found = std::move(adopted);
   return true;
 }
 
 // A value from another process may be older than the latest full read, which
 // did not contain its domain. The domain is then recorded as not evacuated, so
 // that the other process learns it.
+wire::domain_evacuation evacuation_map::NotBeforeSnapshot(
+    wire::domain_evacuation value) const {
+  const std::uint64_t absent = AbsentVersion(value.domain);
+  if (value.evacuated && value.version < absent)
+    return {std::move(value.domain), absent, false};
+  return value;
+}
+
 bool evacuation_map::Insert(
     std::vector<wire::domain_evacuation>::iterator position,
     wire::domain_evacuation value) {
@@ -68,9 +79,7 @@
     overflowed_ = true;
     return false;
   }
-  const std::uint64_t absent = AbsentVersion(value.domain);
-  if (value.version < absent)
-    value = {std::move(value.domain), absent, false};
+  value = NotBeforeSnapshot(std::move(value));
   if (value.evacuated)
     changes_.push_back(value);
   values_.insert(position, std::move(value));
--- a/src/scheduler/job_admission.cc
+++ b/src/scheduler/job_admission.cc
@@ -16,6 +16,10 @@
 constexpr seconds kFadingTime{10};
 // Largest ratio of the refused share of wide jobs to that of all jobs.
 constexpr double kMaxRefusalRatio = 2;
+// A wide job that is predicted to end later than this share of the time left is
+// refused whatever the ratio: predictions are off by 40 %, so that it would
+// hold resources in vain.
+constexpr double kHopelessEnd = 1.5;
 constexpr double kLargestTenthRank = 0.9;
 constexpr double kUpperFifthRank = 0.7;
 
@@ -36,8 +40,10 @@
     return 0;
   std::int64_t ended = place.free * (1 + (last_start - first_start) / service);
   if (place.slots > place.free) {
+    // Slots that become free before the step starts hold one task each by then.
+    const microseconds free_from = std::max(place.wait, start - service);
     ended +=
-        1 + (place.slots - place.free) * (last_start - place.wait) / service;
+        1 + (place.slots - place.free) * (last_start - free_from) / service;
   }
   return ended;
 }
@@ -184,7 +190,8 @@
   submission_counts& counts = history.by_group[group];
   bool refused = prediction.whole > time_left;
   const bool only_for_width = refused && prediction.narrow <= time_left;
-  if (only_for_width && group != kCommon) {
+  const bool hopeless = prediction.whole > Scale(time_left, kHopelessEnd);
+  if (only_for_width && !hopeless && group != kCommon) {
     refused = counts.RefusedShareAfterOneMore() <=
               kMaxRefusalRatio * history.all.RefusedShareAfterOneMore();
   }
--- a/src/scheduler/job_scheduler_admission.cc
+++ b/src/scheduler/job_scheduler_admission.cc
@@ -9,6 +9,7 @@
 
 constexpr std::uint32_t kMaxTasks = 1200;
 constexpr std::size_t kMaxSpecBytes = 4000;
+
 }  // namespace
 
 std::optional<job_scheduler_impl::refusal> job_scheduler_impl::CheckContent(
--- a/src/scheduler/job_scheduler_agents.cc
+++ b/src/scheduler/job_scheduler_agents.cc
@@ -356,7 +356,7 @@
   EndDispatch(job, task);
   returned.avoided_agent = &view;
   if (report.reason == wire::run_reason::kEvacuated)
-    ++counters_.tasks_evacuated;
+    OnEvacuatedReturn(view);
   if (report.reason == wire::run_reason::kWorkerRefused)
     view.refusals.RecordRefusal(now_);
   if (report.reason == wire::run_reason::kUnanswered)
--- a/src/scheduler/job_scheduler_evacuations.cc
+++ b/src/scheduler/job_scheduler_evacuations.cc
@@ -22,6 +22,7 @@
           : evacuations_.Merge(event.values);
   if (changed)
     AdoptEvacuations("store");
+  RecordLeftOutEvacuations();
 }
 
 // An agent may have learned of a change from another entry, which matters while
@@ -31,6 +32,7 @@
   view.evacuations_hash = message.evacuations_hash;
   if (evacuations_.Merge(message.evacuations))
     AdoptEvacuations("agent");
+  RecordLeftOutEvacuations();
 }
 
 void job_scheduler_impl::UpdateEvacuated(worker_view& view) {
@@ -46,6 +48,12 @@
   return std::ranges::any_of(job.steps, [&](const scheduled_step& step) {
     bool evacuated = false;
     for (const worker_view* view : view_list_) {
+      // A worker outside the domain that is not heard of may be back soon.
+      const bool may_return = view->silent && view->worker &&
+                              !view->evacuated &&
+                              view->worker->desk == job.kind->desk;
+      if (may_return)
+        return false;
       if (!CanRun(*view, job, step.spec))
         continue;
       if (!view->evacuated)
@@ -98,11 +106,6 @@
     if (change.evacuated)
       domain_checks_.push_back({now_ + kDomainCheckDelay, change});
   }
-  if (evacuations_.TakeOverflow()) {
-    RecordDecision(
-        decision_kind::kEvacuationsLeftOut, "",
-        {{"known", static_cast<std::int64_t>(evacuations_.values().size())}});
-  }
   for (worker_view* view : view_list_) {
     UpdateEvacuated(*view);
     const bool has_session = view->session != agent_session{};
@@ -111,15 +114,38 @@
         view->evacuations_hash == evacuations_.hash()) {
       continue;
     }
-    wire::beat_reply update;
-    update.members_hash = members_hash_;
-    update.evacuations_hash = evacuations_.hash();
-    update.evacuations = evacuations_.values();
-    // The agent reads its clock from the last reply of a frame, which must be
-    // the one that answers a heartbeat.
-    view->outgoing.insert(view->outgoing.begin(), std::move(update));
+    SendEvacuations(*view);
   }
   dispatch_needed_ = true;
 }
 
+void job_scheduler_impl::SendEvacuations(worker_view& view) {
+  wire::beat_reply update;
+  update.members_hash = members_hash_;
+  update.evacuations_hash = evacuations_.hash();
+  update.evacuations = evacuations_.values();
+  // The agent reads its clock from the last reply of a frame, which must be the
+  // one that answers a heartbeat.
+  view.outgoing.insert(view.outgoing.begin(), std::move(update));
+}
+
+// The agent knows of an evacuation that this entry does not, or has not heard
+// of its end. Until its next heartbeat the agent gets no further tasks, which
+// would come back at once.
+void job_scheduler_impl::OnEvacuatedReturn(worker_view& view) {
+  ++counters_.tasks_evacuated;
+  if (std::exchange(view.evacuated, true))
+    return;
+  if (view.evacuations_hash != evacuations_.hash())
+    SendEvacuations(view);
+}
+
+void job_scheduler_impl::RecordLeftOutEvacuations() {
+  if (!evacuations_.TakeOverflow())
+    return;
+  RecordDecision(
+      decision_kind::kEvacuationsLeftOut, "",
+      {{"known", static_cast<std::int64_t>(evacuations_.values().size())}});
+}
+
 }  // namespace egretrack::scheduler
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -169,6 +169,10 @@
   // Applies changes of the map to the views and tells the agents.
   void AdoptEvacuations(std::string_view source);
   void UpdateEvacuated(worker_view& view);
+  // Handles a task that the agent returned because its domain is evacuated.
+  void OnEvacuatedReturn(worker_view& view);
+  void SendEvacuations(worker_view& view);
+  void RecordLeftOutEvacuations();
   // Whether only workers of evacuated domains can run a step of the job.
   bool NeedsEvacuatedWorker(const scheduled_job& job) const;
   // Whether the worker's domain has returned so recently that this entry's
--- a/src/scheduler/job_scheduler_jobs.cc
+++ b/src/scheduler/job_scheduler_jobs.cc
@@ -131,7 +131,10 @@
   jobs_by_caller_[job.caller] = &job;
   deadlines_.Add(job.deadline, job.number);
   ++counters_.jobs_accepted;
-  start_order_.Observe(job.kind->priority, CriticalPathLength(job.steps));
+  // An estimate beyond the job's deadline tells nothing of its length.
+  start_order_.Observe(
+      job.kind->priority,
+      std::min(CriticalPathLength(job.steps), job.deadline - job.accepted_at));
   RecordDecision(
       decision_kind::kJobAccepted, job.job_key,
       {{"kind", job.kind->name},
--- a/src/scheduler/run_supervisor_evacuation.cc
+++ b/src/scheduler/run_supervisor_evacuation.cc
@@ -5,7 +5,13 @@
 void run_supervisor_impl::AdoptEvacuations(const wire::beat_reply& message,
                                            entry_index entry) {
   links_[entry].evacuations_hash = message.evacuations_hash;
-  if (!evacuations_.Merge(message.evacuations))
+  const bool changed = evacuations_.Merge(message.evacuations);
+  if (evacuations_.TakeOverflow()) {
+    RecordDecision(
+        decision_kind::kEvacuationsLeftOut, "",
+        {{"known", static_cast<std::int64_t>(evacuations_.values().size())}});
+  }
+  if (!changed)
     return;
   for (const wire::domain_evacuation& change : evacuations_.TakeChanges()) {
     RecordDecision(decision_kind::kEvacuationChanged, "",
@@ -15,11 +21,6 @@
                     {"source", std::string("entry")},
                     {"entry", links_[entry].entry()}});
   }
-  if (evacuations_.TakeOverflow()) {
-    RecordDecision(
-        decision_kind::kEvacuationsLeftOut, "",
-        {{"known", static_cast<std::int64_t>(evacuations_.values().size())}});
-  }
   evacuated_ = evacuations_.IsEvacuated(options_.failure_domain);
   // The other entries may have lost the store. Each change is passed on at
   // once, but only once: an entry that keeps another hash, for example one of
--- a/src/scheduler/run_supervisor_worker.cc
+++ b/src/scheduler/run_supervisor_worker.cc
@@ -110,7 +110,8 @@
                   {"limit_us", microseconds(run.start_limit).count()}});
   if (!evacuated_ && ++run.resends <= kMaxResends && MayExtendLease())
     return SendStart(run);
-  StopRun(run, wire::run_reason::kUnanswered);
+  StopRun(run, evacuated_ ? wire::run_reason::kEvacuated
+                          : wire::run_reason::kUnanswered);
 }
 
 // The task may be started again at once: by this agent where only a number was
@@ -246,7 +247,8 @@
   const agent_run& run = *runs_.Find(key);
   const bool never_started =
       run.confirmed == monotonic_time{} &&
-      run.stop_reason == wire::run_reason::kUnanswered &&
+      (run.stop_reason == wire::run_reason::kUnanswered ||
+       run.stop_reason == wire::run_reason::kEvacuated) &&
       (proof == run_end_proof::kStopped || proof == run_end_proof::kFencedOff);
   if (never_started)
     return RefuseRun(key, run.stop_reason, proof);
--- a/src/scheduler/tests/evacuation_map_test.cc
+++ b/src/scheduler/tests/evacuation_map_test.cc
@@ -121,5 +121,21 @@
   EXPECT_EQ(map.CountEvacuated(), 0U);
 }
 
+// Guards against a list that goes to every process with each full read although
+// nothing has changed, and against an evacuation that another process missed
+// the end of and that a full read has ruled out.
+TEST(EvacuationMap, FullReadKeepsTheVersionOfAnEndedEvacuation) {
+  evacuation_map map;
+  map.Merge(evacuations{{"enna", 5, true}});
+  map.Merge(evacuations{{"enna", 9, false}});
+  const std::uint64_t hash = map.hash();
+  EXPECT_FALSE(map.ApplySnapshot({}, 40));
+  EXPECT_EQ(map.hash(), hash);
+  map.Merge(evacuations{{"enna", 20, true}});
+  EXPECT_FALSE(map.IsEvacuated("enna"));
+  map.Merge(evacuations{{"enna", 41, true}});
+  EXPECT_TRUE(map.IsEvacuated("enna"));
+}
+
 }  // namespace
 }  // namespace egretrack::scheduler
--- a/src/scheduler/tests/job_admission_test.cc
+++ b/src/scheduler/tests/job_admission_test.cc
@@ -10,7 +10,7 @@
 namespace egretrack::scheduler {
 namespace {
 
-constexpr milliseconds kCallerPatience{1500};
+constexpr milliseconds kCallerDeadline{1500};
 
 admission_step MakeStep(std::uint32_t tasks, std::vector<step_place> places) {
   return {tasks, {}, std::move(places)};
@@ -57,7 +57,7 @@
   const std::vector<admission_step> steps{
       MakeStep(4, {{milliseconds(900), milliseconds(900), 0, 9},
                    {milliseconds(900), milliseconds(900), 0, 9}})};
-  EXPECT_EQ(admission.Judge("long", 4, PredictEnd(steps), kCallerPatience,
+  EXPECT_EQ(admission.Judge("long", 4, PredictEnd(steps), kCallerDeadline,
                             monotonic_time{seconds(100)}),
             admission_verdict::kAccepted);
 }
@@ -83,7 +83,7 @@
         {{milliseconds(is_crowded ? 1600 : 1200), milliseconds(60), 0, 9}})};
     const std::uint32_t tasks = is_wide ? 200 : 8;
     const bool is_refused =
-        admission.Judge("wide", tasks, PredictEnd(steps), kCallerPatience,
+        admission.Judge("wide", tasks, PredictEnd(steps), kCallerDeadline,
                         now) != admission_verdict::kAccepted;
     refused += is_refused ? 1 : 0;
     wide += is_wide ? 1 : 0;
@@ -147,5 +147,31 @@
   EXPECT_EQ(driver_.AnswerFor(1)->retry_after, seconds(0));
 }
 
+// Guards against accepting a wide job that cannot end in time by far, because
+// few jobs of its kind are refused.
+TEST(JobAdmission, RefusesAHopelessWideJob) {
+  job_admission admission;
+  const step_place idle{{}, milliseconds(100), 8, 8};
+  const auto judge = [&](std::uint32_t tasks) {
+    const std::vector<admission_step> steps{MakeStep(tasks, {idle})};
+    return admission.Judge("kind", tasks, PredictEnd(steps), kCallerDeadline,
+                           monotonic_time{});
+  };
+  for (int job = 0; job < 10; ++job)
+    EXPECT_EQ(judge(8), admission_verdict::kAccepted);
+  EXPECT_EQ(judge(400), admission_verdict::kOverloaded);
+}
+
+// Guards against ignoring how many tasks a later step has while all slots are
+// busy: they cannot have turned over before the step starts.
+TEST(JobAdmission, CountsTheWidthOfALaterStep) {
+  const std::vector<std::uint32_t> first{0};
+  const step_place long_run{{}, milliseconds(2000), 1, 1};
+  const step_place busy{milliseconds(0), milliseconds(100), 0, 4};
+  const std::vector<admission_step> chain{{1, {}, {long_run}},
+                                          {80, first, {busy}}};
+  EXPECT_GE(PredictEnd(chain).whole, milliseconds(1900));
+}
+
 }  // namespace
 }  // namespace egretrack::scheduler
--- a/src/scheduler/tests/job_scheduler_evacuation_test.cc
+++ b/src/scheduler/tests/job_scheduler_evacuation_test.cc
@@ -273,5 +273,31 @@
   EXPECT_TRUE(MayDispatchAfterReturn(worker, 16000));
 }
 
+// Guards against tasks that go back and forth between the workers of a domain
+// whose evacuation this entry has not learned of yet.
+TEST_F(JobSchedulerEvacuation, UsesNoAgentThatRefusesUntilItsNextHeartbeat) {
+  Receive({{"enna", 4, true}});
+  driver_.Handle(scheduler_driver::MakeJob(1, "j"));
+  const auto dispatched = driver_.TakeDispatched();
+  ASSERT_EQ(dispatched.size(), 1U);
+  driver_.Report(dispatched[0], wire::run_end::kRefused,
+                 wire::run_reason::kEvacuated);
+  EXPECT_TRUE(driver_.TakeDispatched().empty());
+  SendHeartbeat(1, "palermo");
+  EXPECT_EQ(TakeAgents(), std::vector<std::string>{"a1"});
+}
+
+// Guards against refusing jobs because the only workers outside the evacuated
+// domain have not been heard of for a moment.
+TEST_F(JobSchedulerEvacuation, WaitsForASilentWorkerOutsideTheDomain) {
+  Receive({{"enna", 4, true}});
+  for (int second = 0; second < 4; ++second) {
+    driver_.AdvanceTime(seconds(1));
+    SendHeartbeat(2, "enna");
+  }
+  driver_.Handle(scheduler_driver::MakeJob(1, "j"));
+  EXPECT_FALSE(driver_.AnswerFor(1).has_value());
+}
+
 }  // namespace
 }  // namespace egretrack::scheduler
--- a/src/scheduler/tests/start_order_test.cc
+++ b/src/scheduler/tests/start_order_test.cc
@@ -233,5 +233,22 @@
   EXPECT_EQ(dispatched[0].dispatch.job_key, "u");
 }
 
+// Guards against one caller whose estimate moves all jobs of a priority, and
+// against a lower priority that is moved back for having shorter jobs.
+TEST(StartOrder, BoundsWhatOneEstimateMoves) {
+  start_order order;
+  for (int job = 0; job < 300; ++job) {
+    order.Observe(0, milliseconds(60));
+    order.Observe(2, milliseconds(60));
+  }
+  const auto standing = MakeStanding(milliseconds(0), milliseconds(1500), 2);
+  const auto before = order.VirtualDeadline(standing);
+  order.Observe(2, seconds(1000));
+  EXPECT_LE(before - order.VirtualDeadline(standing), milliseconds(5));
+  for (int job = 0; job < 300; ++job)
+    order.Observe(0, seconds(10));
+  EXPECT_LE(order.VirtualDeadline(standing), before + milliseconds(5));
+}
+
 }  // namespace
 }  // namespace egretrack::scheduler
--- a/src/scheduler/worker_view.cc
+++ b/src/scheduler/worker_view.cc
@@ -90,10 +90,21 @@
 
 microseconds worker_view::PredictRoomWait(const resources& need,
                                           microseconds typical_run_time) const {
-  const std::int64_t missing = need.cpu_milli - FreeResources().cpu_milli;
-  if (missing <= 0 || !worker || worker->capacity.cpu_milli <= 0)
+  const resources free = FreeResources();
+  if (free.Fits(need) || !worker)
     return microseconds(0);
-  return typical_run_time * missing / worker->capacity.cpu_milli;
+  double share = 0;
+  const auto count = [&share](std::int64_t needed, std::int64_t available,
+                              std::int64_t capacity) {
+    if (needed > available && capacity > 0) {
+      share = std::max(share, static_cast<double>(needed - available) /
+                                  static_cast<double>(capacity));
+    }
+  };
+  count(need.cpu_milli, free.cpu_milli, worker->capacity.cpu_milli);
+  count(need.memory_mb, free.memory_mb, worker->capacity.memory_mb);
+  count(need.gpus, free.gpus, worker->capacity.gpus);
+  return Scale(typical_run_time, share);
 }
 
 }  // namespace egretrack::scheduler
