--- a/src/egretrackctl/commands/command.h
+++ b/src/egretrackctl/commands/command.h
@@ -35,6 +35,7 @@
   return std::make_unique<Command>();
 }
 
+std::span<const command_definition> CheckCommands();
 std::span<const command_definition> ConfigurationCommands();
 std::span<const command_definition> ProcessCommands();
 std::span<const command_definition> JobCommands();
--- a/src/egretrackctl/commands/command_line.cc
+++ b/src/egretrackctl/commands/command_line.cc
@@ -20,9 +20,9 @@
 constexpr std::int64_t kMaxTimeoutMs = 3600000;
 
 using command_list_function = std::span<const command_definition> (*)();
-constexpr std::array<command_list_function, 5> kCommandLists{
-    &ConfigurationCommands, &ProcessCommands, &JobCommands, &ReportCommands,
-    &LogCommands};
+constexpr std::array<command_list_function, 6> kCommandLists{
+    &CheckCommands, &ConfigurationCommands, &ProcessCommands,
+    &JobCommands,   &ReportCommands,        &LogCommands};
 
 std::string ExitCodeHelp() {
   std::string text = "Exit codes:";
--- a/src/egretrackctl/commands/configuration_commands.cc
+++ b/src/egretrackctl/commands/configuration_commands.cc
@@ -7,10 +7,10 @@
 #include <CLI/CLI.hpp>
 #include <boost/json/serialize.hpp>
 
-#include "egretrack/base/file.h"
 #include "egretrack/base/ids.h"
 #include "egretrack/objects/check.h"
 #include "egretrackctl/commands/command.h"
+#include "egretrackctl/commands/configuration_source.h"
 #include "egretrackctl/commands/json_view.h"
 
 namespace egretrack::ctl {
@@ -18,152 +18,8 @@
 
 namespace json = boost::json;
 
-constexpr unsigned kStatusUnavailable = 503;
 constexpr std::int64_t kMaxVersions = 1000;
 
-constexpr std::array<json_column, 5> kChangeColumns{{
-    {"CHANGE", "change"},
-    {"OBJECT", "object"},
-    {"KEY", "key"},
-    {"BEFORE", "before"},
-    {"AFTER", "after"},
-}};
-
-// Indexed by change_kind.
-constexpr std::array kChangeNames{"added", "removed", "changed"};
-
-void AddFileArgument(CLI::App& app, std::string& path) {
-  app.add_option("file", path, "TOML file with the objects")->required();
-}
-
-json::array FaultsToJson(std::span<const objects::config_fault> faults) {
-  json::array list;
-  for (const auto& fault : faults) {
-    list.push_back({{"object", fault.object},
-                    {"key", fault.key},
-                    {"code", fault.code.message()},
-                    {"reason", fault.reason},
-                    {"text", fault.ToString()}});
-  }
-  return list;
-}
-
-json::array ChangesToJson(std::span<const objects::object_change> changes) {
-  json::array list;
-  for (const auto& change : changes) {
-    list.push_back(
-        {{"change", kChangeNames.at(static_cast<std::size_t>(change.kind))},
-         {"object", change.object},
-         {"key", change.key},
-         {"before", change.before},
-         {"after", change.after}});
-  }
-  return list;
-}
-
-struct checked_file {
-  std::string document;
-  objects::object_set objects;
-};
-
-// Reads and checks a file. Prints every fault if the file is invalid.
-std::optional<checked_file> LoadFile(const session& session,
-                                     const std::string& path) {
-  const auto document = ReadFile(path);
-  if (!document) {
-    session.ReportInvalidInput(document.error().ToString());
-    return std::nullopt;
-  }
-  objects::check_outcome outcome = objects::CheckDocument(*document);
-  if (outcome.faults.empty())
-    return checked_file{*document, std::move(outcome.objects)};
-  if (session.options().json) {
-    session.out() << json::serialize(
-                         json::value{{"valid", false},
-                                     {"faults", FaultsToJson(outcome.faults)}})
-                  << '\n';
-    return std::nullopt;
-  }
-  for (const auto& fault : outcome.faults)
-    session.err() << path << ": " << fault.ToString() << '\n';
-  return std::nullopt;
-}
-
-struct published_configuration {
-  std::uint64_t version = 0;  // 0 if the entry has no configuration in force.
-  std::string document;
-};
-
-// An entry has no configuration if none was published, or if it has not read
-// the published version yet. Version 0 is a safe base in both cases: a
-// publication based on it is rejected as a conflict if a version exists.
-bool HasNoConfiguration(const net::http_response& response) {
-  if (response.status != kStatusUnavailable)
-    return false;
-  const auto body = ParseJson(response.body);
-  return body && TextAt(*body, "error") == "not_ready";
-}
-
-// Reads the published configuration from an entry. On failure, prints the error
-// and sets `code`.
-std::optional<published_configuration> FetchPublished(const session& session,
-                                                      exit_code& code) {
-  const entry_reply reply = session.SendToAny(MakeRequest("GET", "/v1/config"));
-  if (!reply.response) {
-    code = session.ReportNoResponse(reply, true);
-    return std::nullopt;
-  }
-  if (HasNoConfiguration(*reply.response))
-    return published_configuration{};
-  code = ExitCodeForReply(reply);
-  if (code != exit_code::kOk) {
-    session.ReportError(reply);
-    return std::nullopt;
-  }
-  const auto body = ParseJson(reply.response->body);
-  const auto* fields = body ? body->if_object() : nullptr;
-  const auto* version =
-      fields != nullptr ? fields->if_contains("version") : nullptr;
-  boost::system::error_code conversion_error;
-  const auto number = version != nullptr
-                          ? version->to_number<std::uint64_t>(conversion_error)
-                          : 0;
-  if (version == nullptr || conversion_error) {
-    session.err() << "The response of the entry contains no valid "
-                     "configuration version.\n";
-    code = exit_code::kFailed;
-    return std::nullopt;
-  }
-  return published_configuration{number, TextAt(*body, "document")};
-}
-
-class check_command final : public command {
- public:
-  void AddOptions(CLI::App& app) override { AddFileArgument(app, path_); }
-
-  exit_code Run(const session& session) override {
-    const auto file = LoadFile(session, path_);
-    if (!file)
-      return exit_code::kInvalid;
-    if (session.options().json) {
-      session.out() << R"({"valid":true,"faults":[]})" << '\n';
-      return exit_code::kOk;
-    }
-    text_table table({"DESKS", "KINDS", "ENDPOINTS", "SHIFTS", "LIMITS"});
-    const objects::object_set& set = file->objects;
-    table.AddRow(
-        {std::to_string(set.desks.size()), std::to_string(set.kinds.size()),
-         std::to_string(set.endpoints.size()),
-         std::to_string(set.shifts.size()), std::to_string(set.limits.size())});
-    session.out() << path_ << " is valid.\n";
-    table.Print(session.out());
-    return exit_code::kOk;
-  }
-
- private:
-  std::string path_;
-};
-
 class publish_command final : public command {
  public:
   void AddOptions(CLI::App& app) override {
@@ -241,7 +97,7 @@
       session.err() << "Version " << version << " is published.\n";
     const json::array& changes = ArrayAt(body, "changes");
     if (!changes.empty())
-      MakeTable(kChangeColumns, changes).Print(session.err());
+      MakeChangeTable(changes).Print(session.err());
   }
 
   std::string path_;
@@ -260,20 +116,15 @@
     const auto current = FetchPublished(session, code);
     if (!current)
       return code;
-    const auto published_objects =
-        objects::CheckDocument(current->document).objects;
-    const auto changes =
-        ChangesToJson(objects::Diff(published_objects, file->objects));
+    const auto changes = ChangesToJson(objects::Diff(
+        objects::CheckDocument(current->document).objects, file->objects));
     if (session.options().json) {
       session.out() << json::serialize(json::value{
                            {"version", current->version}, {"changes", changes}})
                     << '\n';
-      return exit_code::kOk;
+    } else {
+      PrintChanges(session, VersionTitle(current->version), changes);
     }
-    session.out() << "Changes against version " << current->version << ": "
-                  << changes.size() << '\n';
-    if (!changes.empty())
-      MakeTable(kChangeColumns, changes).Print(session.out());
     return exit_code::kOk;
   }
 
@@ -337,9 +188,7 @@
   std::optional<std::int64_t> limit_;
 };
 
-constexpr std::array<command_definition, 4> kCommands{{
-    {"check", "Check a file of objects without an entry",
-     &Create<check_command>},
+constexpr std::array<command_definition, 3> kCommands{{
     {"publish", "Publish a file of objects", &Create<publish_command>},
     {"diff", "Compare a file with the published objects",
      &Create<diff_command>},
--- a/src/egretrackctl/commands/tests/command_line_test.cc
+++ b/src/egretrackctl/commands/tests/command_line_test.cc
@@ -122,6 +122,30 @@
   EXPECT_TRUE(transport_.calls.empty());
 }
 
+// Guards against warnings that fail a check without --strict, or that pass one
+// with it.
+TEST_F(CommandLine, CheckFailsForWarningsOnlyIfStrict) {
+  EXPECT_EQ(Run({"check", file_, "--strict"}), exit_code::kOk);
+  EXPECT_EQ(err_.str(), "");
+  std::ofstream(file_, std::ios::app)
+      << "[request_kind.s]\ndesk = \"d\"\ndeadline_ms = 100\n"
+         "[endpoint.s]\ndesk = \"d\"\nkinds = [\"s\"]\n";
+  const std::string text =
+      "request_kind.s: deadline_ms: below the expected_ms 200";
+  EXPECT_EQ(Run({"check", file_}), exit_code::kOk);
+  EXPECT_EQ(err_.str(), file_ + ": warning: " + text + "\n");
+  EXPECT_NE(out_.str().find("is valid"), std::string::npos);
+  EXPECT_EQ(Run({"check", file_, "--strict"}), exit_code::kInvalid);
+  EXPECT_EQ(Run({"--json", "check", file_, "--strict"}), exit_code::kInvalid);
+  EXPECT_EQ(out_.str(),
+            R"({"valid":true,"faults":[],"warnings":[{"object":)"
+            R"("request_kind.s","key":"deadline_ms","code":)"
+            R"("deadline_below_expected","reason":"below the expected_ms 200",)"
+            R"("text":")" +
+                text + "\"}]}\n");
+  EXPECT_TRUE(transport_.calls.empty());
+}
+
 // Guards against a second write after a lost response (F8): the retry must
 // carry the same publication id and base.
 TEST_F(CommandLine, PublishRetriesWithTheSamePublicationId) {
