--- a/src/egretrackctl/commands/check_command.cc
+++ b/src/egretrackctl/commands/check_command.cc
@@ -1,6 +1,10 @@
 #include <array>
+#include <cstdint>
+#include <optional>
 #include <ostream>
+#include <span>
 #include <string>
+#include <utility>
 
 #include <CLI/CLI.hpp>
 #include <boost/json/serialize.hpp>
@@ -26,31 +30,82 @@
   return list;
 }
 
+// What the checked file is compared with.
+struct comparison_base {
+  std::string title;                     // As in "version 7".
+  std::optional<std::uint64_t> version;  // Set if it was read from an entry.
+  objects::object_set objects;
+};
+
 class check_command final : public command {
  public:
   void AddOptions(CLI::App& app) override {
     AddFileArgument(app, path_);
     app.add_flag("--strict", strict_, "Fail if there are warnings");
+    app.add_option("--against", against_,
+                   "TOML file to compare with; --entry compares with the "
+                   "version in force at an entry");
   }
 
   exit_code Run(const session& session) override {
+    if (!against_.empty() && session.options().entries_given) {
+      session.err() << "check takes --against or --entry, not both\n";
+      return exit_code::kUsage;
+    }
     const auto file = LoadFile(session, path_);
     if (!file)
       return exit_code::kInvalid;
+    exit_code code = exit_code::kOk;
+    const auto base = LoadBase(session, code);
+    if (code != exit_code::kOk)
+      return code;
     const auto warnings = objects::FindWarnings(file->objects);
-    if (session.options().json)
-      PrintJson(session, warnings);
-    else
+    json::array changes;
+    if (base)
+      changes = ChangesToJson(objects::Diff(base->objects, file->objects));
+    if (session.options().json) {
+      PrintJson(session, warnings, base, std::move(changes));
+    } else {
       PrintText(session, file->objects, warnings);
+      if (base)
+        PrintChanges(session, base->title, changes);
+    }
     return strict_ && !warnings.empty() ? exit_code::kInvalid : exit_code::kOk;
   }
 
  private:
+  // Reads what to compare with, if anything. On failure, prints the error and
+  // sets `code`.
+  std::optional<comparison_base> LoadBase(const session& session,
+                                          exit_code& code) const {
+    if (!against_.empty()) {
+      auto file = LoadFile(session, against_);
+      if (file)
+        return comparison_base{against_, std::nullopt,
+                               std::move(file->objects)};
+      code = exit_code::kInvalid;
+    } else if (session.options().entries_given) {
+      const auto published = FetchPublished(session, code);
+      if (published) {
+        return comparison_base{
+            VersionTitle(published->version), published->version,
+            objects::CheckDocument(published->document).objects};
+      }
+    }
+    return std::nullopt;
+  }
+
   static void PrintJson(const session& session,
-                        std::span<const objects::config_warning> warnings) {
-    const json::object body{{"valid", true},
-                            {"faults", json::array()},
-                            {"warnings", WarningsToJson(warnings)}};
+                        std::span<const objects::config_warning> warnings,
+                        const std::optional<comparison_base>& base,
+                        json::array changes) {
+    json::object body{{"valid", true},
+                      {"faults", json::array()},
+                      {"warnings", WarningsToJson(warnings)}};
+    if (base && base->version)
+      body["version"] = *base->version;
+    if (base)
+      body["changes"] = std::move(changes);
     session.out() << json::serialize(body) << '\n';
   }
 
@@ -69,6 +124,7 @@
   }
 
   std::string path_;
+  std::string against_;
   bool strict_ = false;
 };
 
--- a/src/egretrackctl/commands/command_line.cc
+++ b/src/egretrackctl/commands/command_line.cc
@@ -104,7 +104,8 @@
   }
 
   bool ParseEntries(std::ostream& err) {
-    if (entries_.empty())
+    options_.entries_given = !entries_.empty();
+    if (!options_.entries_given)
       entries_.emplace_back(kDefaultEntry);
     for (const std::string& text : entries_) {
       const auto address = net::tcp_address::Parse(text);
--- a/src/egretrackctl/commands/session.h
+++ b/src/egretrackctl/commands/session.h
@@ -17,6 +17,7 @@
 
 struct global_options {
   std::vector<net::tcp_address> entries;
+  bool entries_given = false;  // False if `entries` is the default.
   bool json = false;
   milliseconds timeout{5000};     // Of one attempt.
   milliseconds retry_delay{200};  // Before the second round.
--- a/src/egretrackctl/commands/tests/command_line_test.cc
+++ b/src/egretrackctl/commands/tests/command_line_test.cc
@@ -146,6 +146,50 @@
   EXPECT_TRUE(transport_.calls.empty());
 }
 
+// Guards against a comparison in the wrong direction, and against an invalid
+// file to compare with that is treated as empty.
+TEST_F(CommandLine, CheckComparesWithAnotherFile) {
+  const std::string other = file_ + ".other";
+  std::ofstream(other) << "[desk.d]\nobjective = 0.9\n[desk.old]\n";
+  EXPECT_EQ(Run({"check", file_, "--against", other}), exit_code::kOk);
+  EXPECT_NE(out_.str().find("Changes against " + other + ": 4\n"),
+            std::string::npos)
+      << out_.str();
+  EXPECT_NE(out_.str().find("removed  desk.old"), std::string::npos);
+  EXPECT_EQ(Run({"check", file_, "--json", "--against", file_}),
+            exit_code::kOk);
+  EXPECT_EQ(out_.str(),
+            R"({"valid":true,"faults":[],"warnings":[],"changes":[]})"
+            "\n");
+  std::ofstream(other) << "[desk.d]\nsize = 1\n";
+  EXPECT_EQ(Run({"check", file_, "--against", other}), exit_code::kInvalid);
+  EXPECT_EQ(err_.str(), other + ": desk.d: size: no such key\n");
+  EXPECT_EQ(out_.str(), "");
+  std::remove(other.c_str());
+  EXPECT_EQ(Run({"check", file_, "--against", other}), exit_code::kInvalid);
+  EXPECT_TRUE(transport_.calls.empty());
+}
+
+// Guards against a check that asks the default entry, and against one that
+// passes although the entry it was to compare with did not respond.
+TEST_F(CommandLine, CheckComparesWithGivenEntryOnly) {
+  EXPECT_EQ(Run({"check", file_}), exit_code::kOk);
+  EXPECT_TRUE(transport_.calls.empty());
+  transport_.replies = {
+      Response(200, R"({"version":7,"document":"[desk.d]\n[desk.old]\n"})")};
+  EXPECT_EQ(Run({"check", file_, "--entry", "127.0.0.1:1"}), exit_code::kOk);
+  ASSERT_EQ(transport_.calls.size(), 1U);
+  EXPECT_EQ(transport_.calls[0].entry, "127.0.0.1:1");
+  EXPECT_EQ(transport_.calls[0].line, "GET /v1/config");
+  EXPECT_NE(out_.str().find("Changes against version 7: 3\n"),
+            std::string::npos)
+      << out_.str();
+  EXPECT_EQ(Run({"check", file_, "--entry", "127.0.0.1:1"}),
+            exit_code::kUnreachable);
+  EXPECT_EQ(Run({"check", file_, "--entry", "127.0.0.1:1", "--against", file_}),
+            exit_code::kUsage);
+}
+
 // Guards against a second write after a lost response (F8): the retry must
 // carry the same publication id and base.
 TEST_F(CommandLine, PublishRetriesWithTheSamePublicationId) {
