Compare an object set with the workers that are to serve it

Reads workers from a TOML document and warns about endpoints without a worker or above their largest worker, limits above all slots and workers of unknown endpoints.

--- a/src/include/egretrack/objects/warnings.h
+++ b/src/include/egretrack/objects/warnings.h
@@ -2,11 +2,14 @@
 #define EGRETRACK_OBJECTS_WARNINGS_H_
 
 #include <cstdint>
+#include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "egretrack/objects/configuration.h"
+#include "egretrack/objects/worker_list.h"
 
 namespace egretrack::objects {
 
@@ -14,6 +17,10 @@
   kHiddenPrefix,
   kUnmatchablePrefix,
   kDeadlineBelowExpected,
+  kEndpointWithoutWorker,
+  kEndpointAboveWorkers,
+  kLimitAboveSlots,
+  kUnknownEndpoint,
 };
 
 // Returns the name by which scripts distinguish warnings, as in
@@ -30,8 +37,11 @@
   std::string ToString() const;
 };
 
-// Returns every warning for an object set that was checked without faults.
-std::vector<config_warning> FindWarnings(const object_set& set);
+// Returns every warning for an object set that was checked without faults. The
+// set is compared with the workers if they are known.
+std::vector<config_warning> FindWarnings(
+    const object_set& set,
+    std::optional<std::span<const worker>> workers = std::nullopt);
 
 }  // namespace egretrack::objects
 
--- a/src/objects/check.cc
+++ b/src/objects/check.cc
@@ -1,10 +1,10 @@
 #include "egretrack/objects/check.h"
 
 #include <algorithm>
-#include <array>
 #include <utility>
 
 #include "egretrack/base/ids.h"
+#include "objects/key_faults.h"
 #include "objects/relations.h"
 #include "objects/sections.h"
 
@@ -46,26 +46,6 @@
   }
 };
 
-// Indexed by key_errc. Objects have no address keys, so kInvalidAddress does
-// not occur.
-constexpr std::array kErrorCodes{
-    config_errc::kUnknownKey,  config_errc::kMissingKey,
-    config_errc::kWrongType,   config_errc::kOutOfRange,
-    config_errc::kInvalidName, config_errc::kInvalidName,
-    config_errc::kInvalidName,
-};
-
-// Appends the key faults of one object to the faults of the document.
-void AddFaults(keys::fault_list found,
-               std::string_view object,
-               std::vector<config_fault>& faults) {
-  for (auto& fault : found) {
-    faults.push_back({kErrorCodes[static_cast<std::size_t>(fault.code)],
-                      std::string(object), std::move(fault.key),
-                      std::move(fault.reason)});
-  }
-}
-
 template <typename Object>
 void ReadObject(const object_section<Object>& section,
                 std::string_view name,
@@ -85,7 +65,7 @@
     keys::ReadTable(*table, section.rules, "", object, faults);
     (outcome.objects.*section.list).push_back(std::move(object));
   }
-  AddFaults(std::move(faults), qualified_name, outcome.faults);
+  AddKeyFaults(std::move(faults), qualified_name, outcome.faults);
 }
 
 template <typename Object>
@@ -123,7 +103,7 @@
     return;
   keys::fault_list faults;
   const toml::table* table = keys::ExpectTable(*node, "", faults);
-  AddFaults(std::move(faults), section.name, outcome.faults);
+  AddKeyFaults(std::move(faults), section.name, outcome.faults);
   if (table == nullptr)
     return;
   for (const auto& [name, object] : *table)
--- a/src/objects/sections.cc
+++ b/src/objects/sections.cc
@@ -192,4 +192,17 @@
   return {"limit", &object_set::limits, kKeys};
 }
 
+object_section<worker> WorkerSection() {
+  using o = worker;
+  using rule = key_rule<o>;
+  static const std::array kKeys{
+      NameRule("endpoint", &o::endpoint, true),
+      rule{.name = "slots", .target = &o::slots, .range = {1, 4096}},
+      rule{.name = "connections",
+           .target = &o::connections,
+           .range = {1, 65535}},
+  };
+  return {"worker", nullptr, kKeys};
+}
+
 }  // namespace egretrack::objects
--- a/src/objects/sections.h
+++ b/src/objects/sections.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "egretrack/objects/configuration.h"
+#include "egretrack/objects/worker_list.h"
 #include "toml/key_table.h"
 
 // Tables that describe every kind of object and its keys.
@@ -31,6 +32,8 @@
 object_section<endpoint> EndpointSection();
 object_section<shift> ShiftSection();
 object_section<limit> LimitSection();
+// Workers are described in a document of their own and are in no object set.
+object_section<worker> WorkerSection();
 
 // Calls `visit` with the section of every kind of object.
 template <typename Visitor>
--- a/src/objects/warnings.cc
+++ b/src/objects/warnings.cc
@@ -1,6 +1,8 @@
 #include "egretrack/objects/warnings.h"
 
+#include <algorithm>
 #include <array>
+#include <cstdint>
 #include <map>
 #include <utility>
 
@@ -12,10 +14,11 @@
 namespace {
 
 // Indexed by warning_kind.
-constexpr std::array<std::string_view, 3> kWarningNames{
-    "hidden_prefix",
-    "unmatchable_prefix",
-    "deadline_below_expected",
+constexpr std::array<std::string_view, 7> kWarningNames{
+    "hidden_prefix",           "unmatchable_prefix",
+    "deadline_below_expected", "endpoint_without_worker",
+    "endpoint_above_workers",  "limit_above_slots",
+    "unknown_endpoint",
 };
 
 using warning_list = std::vector<config_warning>;
@@ -92,6 +95,94 @@
   }
 }
 
+// ---- Workers ----------------------------------------------------------------
+
+using worker_span = std::span<const worker>;
+
+void WarnAboutEndpointsWithoutWorker(const object_set& set,
+                                     worker_span workers,
+                                     warning_list& warnings) {
+  for (const endpoint& object : set.endpoints) {
+    if (std::ranges::find(workers, object.name, &worker::endpoint) ==
+        workers.end()) {
+      AddWarning(warning_kind::kEndpointWithoutWorker, EndpointSection(),
+                 object, "", "no worker serves this endpoint", warnings);
+    }
+  }
+}
+
+struct capacity_key {
+  std::string_view name;
+  std::uint32_t endpoint::*required;
+  std::uint32_t worker::*available;
+};
+constexpr std::array kCapacities{
+    capacity_key{"slots", &endpoint::slots, &worker::slots},
+    capacity_key{"connections", &endpoint::connections, &worker::connections},
+};
+
+void WarnAboutLargeEndpoints(const object_set& set,
+                             worker_span workers,
+                             warning_list& warnings) {
+  for (const endpoint& object : set.endpoints) {
+    for (const capacity_key& capacity : kCapacities) {
+      std::uint32_t largest = 0;
+      for (const worker& instance : workers) {
+        if (instance.endpoint == object.name)
+          largest = std::max(largest, instance.*capacity.available);
+      }
+      // An endpoint without a worker has a warning of its own.
+      if (largest == 0 || object.*capacity.required <= largest)
+        continue;
+      AddWarning(
+          warning_kind::kEndpointAboveWorkers, EndpointSection(), object,
+          capacity.name,
+          "above the " + std::to_string(largest) + " of the largest worker",
+          warnings);
+    }
+  }
+}
+
+std::uint64_t CountSlots(const object_set& set,
+                         worker_span workers,
+                         std::string_view desk_name) {
+  std::uint64_t slots = 0;
+  for (const worker& instance : workers) {
+    const endpoint* served = FindEndpoint(set, instance.endpoint);
+    if (served != nullptr && served->desk == desk_name)
+      slots += instance.slots;
+  }
+  return slots;
+}
+
+void WarnAboutLimitsAboveSlots(const object_set& set,
+                               worker_span workers,
+                               warning_list& warnings) {
+  for (const limit& object : set.limits) {
+    const std::uint64_t slots = CountSlots(set, workers, object.desk);
+    // A desk without workers has warnings for its endpoints.
+    if (slots == 0 || object.max_running <= slots)
+      continue;
+    AddWarning(warning_kind::kLimitAboveSlots, LimitSection(), object,
+               "max_running",
+               "above the " + std::to_string(slots) +
+                   " slots of all workers of desk '" + object.desk + "'",
+               warnings);
+  }
+}
+
+void WarnAboutUnknownEndpoints(const object_set& set,
+                               worker_span workers,
+                               warning_list& warnings) {
+  for (const worker& object : workers) {
+    if (FindEndpoint(set, object.endpoint) == nullptr) {
+      AddWarning(warning_kind::kUnknownEndpoint, WorkerSection(), object,
+                 "endpoint",
+                 "endpoint '" + object.endpoint + "' does not exist", warnings);
+    }
+  }
+}
+
 using warning_check = void (*)(const object_set& set, warning_list& warnings);
 constexpr std::array<warning_check, 3> kChecks{
     &WarnAboutHiddenPrefixes,
@@ -99,6 +190,16 @@
     &WarnAboutShortDeadlines,
 };
 
+using worker_check = void (*)(const object_set& set,
+                              worker_span workers,
+                              warning_list& warnings);
+constexpr std::array<worker_check, 4> kWorkerChecks{
+    &WarnAboutEndpointsWithoutWorker,
+    &WarnAboutLargeEndpoints,
+    &WarnAboutLimitsAboveSlots,
+    &WarnAboutUnknownEndpoints,
+};
+
 }  // namespace
 
 std::string_view WarningName(warning_kind kind) {
@@ -109,10 +210,16 @@
   return config_fault{{}, object, key, reason}.ToString();
 }
 
-std::vector<config_warning> FindWarnings(const object_set& set) {
+std::vector<config_warning> FindWarnings(
+    const object_set& set,
+    std::optional<std::span<const worker>> workers) {
   warning_list warnings;
   for (const warning_check check : kChecks)
     check(set, warnings);
+  if (workers) {
+    for (const worker_check check : kWorkerChecks)
+      check(set, *workers, warnings);
+  }
   return warnings;
 }
 
