--- a/src/egretrackctl/commands/check_command.cc
+++ b/src/egretrackctl/commands/check_command.cc
@@ -5,6 +5,7 @@
 #include <span>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include <CLI/CLI.hpp>
 #include <boost/json/serialize.hpp>
@@ -42,6 +43,8 @@
   void AddOptions(CLI::App& app) override {
     AddFileArgument(app, path_);
     app.add_flag("--strict", strict_, "Fail if there are warnings");
+    app.add_option("--workers", workers_,
+                   "TOML file with the workers that are to serve the objects");
     app.add_option("--against", against_,
                    "TOML file to compare with; --entry compares with the "
                    "version in force at an entry");
@@ -55,11 +58,17 @@
     const auto file = LoadFile(session, path_);
     if (!file)
       return exit_code::kInvalid;
+    std::optional<std::vector<objects::worker>> workers;
+    if (!workers_.empty()) {
+      workers = LoadWorkers(session, workers_);
+      if (!workers)
+        return exit_code::kInvalid;
+    }
     exit_code code = exit_code::kOk;
     const auto base = LoadBase(session, code);
     if (code != exit_code::kOk)
       return code;
-    const auto warnings = objects::FindWarnings(file->objects);
+    const auto warnings = objects::FindWarnings(file->objects, workers);
     json::array changes;
     if (base)
       changes = ChangesToJson(objects::Diff(base->objects, file->objects));
@@ -124,6 +133,7 @@
   }
 
   std::string path_;
+  std::string workers_;
   std::string against_;
   bool strict_ = false;
 };
--- a/src/egretrackctl/commands/configuration_source.cc
+++ b/src/egretrackctl/commands/configuration_source.cc
@@ -83,6 +83,21 @@
   return std::nullopt;
 }
 
+std::optional<std::vector<objects::worker>> LoadWorkers(
+    const session& session,
+    const std::string& path) {
+  const auto document = ReadFile(path);
+  if (!document) {
+    session.ReportInvalidInput(document.error().ToString());
+    return std::nullopt;
+  }
+  objects::worker_list_outcome outcome = objects::ReadWorkers(*document);
+  if (outcome.faults.empty())
+    return std::move(outcome.workers);
+  PrintFaults(session, path, outcome.faults);
+  return std::nullopt;
+}
+
 std::optional<published_configuration> FetchPublished(const session& session,
                                                       exit_code& code) {
   const entry_reply reply = session.SendToAny(MakeRequest("GET", "/v1/config"));
--- a/src/egretrackctl/commands/configuration_source.h
+++ b/src/egretrackctl/commands/configuration_source.h
@@ -6,10 +6,12 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include <boost/json/array.hpp>
 
 #include "egretrack/objects/check.h"
+#include "egretrack/objects/worker_list.h"
 #include "egretrackctl/commands/session.h"
 #include "egretrackctl/commands/text_table.h"
 
@@ -37,6 +39,11 @@
 std::optional<checked_file> LoadFile(const session& session,
                                      const std::string& path);
 
+// Reads a file of workers. Prints every fault if the file is invalid.
+std::optional<std::vector<objects::worker>> LoadWorkers(
+    const session& session,
+    const std::string& path);
+
 // Reads the published configuration from an entry. On failure, prints the error
 // and sets `code`.
 std::optional<published_configuration> FetchPublished(const session& session,
--- a/src/egretrackctl/commands/tests/command_line_test.cc
+++ b/src/egretrackctl/commands/tests/command_line_test.cc
@@ -190,6 +190,28 @@
             exit_code::kUsage);
 }
 
+// Guards against a check that ignores the workers, or an invalid file of them.
+TEST_F(CommandLine, CheckComparesWithWorkers) {
+  const std::string workers = file_ + ".workers";
+  std::ofstream(workers) << "[worker.w]\nendpoint = \"x\"\n";
+  EXPECT_EQ(Run({"check", file_, "--strict", "--workers", workers}),
+            exit_code::kInvalid);
+  EXPECT_NE(err_.str().find("warning: endpoint.e: no worker serves"),
+            std::string::npos)
+      << err_.str();
+  std::ofstream(workers) << "[worker.w]\nendpoint = \"e\"\n";
+  EXPECT_EQ(Run({"check", file_, "--strict", "--workers", workers}),
+            exit_code::kOk)
+      << err_.str();
+  std::ofstream(workers) << "[worker.w]\n";
+  EXPECT_EQ(Run({"check", file_, "--workers", workers}), exit_code::kInvalid);
+  EXPECT_EQ(err_.str(),
+            workers + ": worker.w: endpoint: required key is missing\n");
+  std::remove(workers.c_str());
+  EXPECT_EQ(Run({"check", file_, "--workers", workers}), exit_code::kInvalid);
+  EXPECT_EQ(out_.str(), "");
+}
+
 // Guards against a second write after a lost response (F8): the retry must
 // carry the same publication id and base.
 TEST_F(CommandLine, PublishRetriesWithTheSamePublicationId) {
