--- a/src/egretrackctl/commands/tests/command_line_test.cc
+++ b/src/egretrackctl/commands/tests/command_line_test.cc
@@ -122,6 +122,96 @@
   EXPECT_TRUE(transport_.calls.empty());
 }
 
+// Guards against warnings that fail a check without --strict, or that pass one
+// with it.
+TEST_F(CommandLine, CheckFailsForWarningsOnlyIfStrict) {
+  EXPECT_EQ(Run({"check", file_, "--strict"}), exit_code::kOk);
+  EXPECT_EQ(err_.str(), "");
+  std::ofstream(file_, std::ios::app)
+      << "[request_kind.s]\ndesk = \"d\"\ndeadline_ms = 100\n"
+         "[endpoint.s]\ndesk = \"d\"\nkinds = [\"s\"]\n";
+  const std::string text =
+      "request_kind.s: deadline_ms: below the expected_ms 200";
+  EXPECT_EQ(Run({"check", file_}), exit_code::kOk);
+  EXPECT_EQ(err_.str(), file_ + ": warning: " + text + "\n");
+  EXPECT_NE(out_.str().find("is valid"), std::string::npos);
+  EXPECT_EQ(Run({"check", file_, "--strict"}), exit_code::kInvalid);
+  EXPECT_EQ(Run({"--json", "check", file_, "--strict"}), exit_code::kInvalid);
+  EXPECT_EQ(out_.str(),
+            R"({"valid":true,"faults":[],"warnings":[{"object":)"
+            R"("request_kind.s","key":"deadline_ms","code":)"
+            R"("deadline_below_expected","reason":"below the expected_ms 200",)"
+            R"("text":")" +
+                text + "\"}]}\n");
+  EXPECT_TRUE(transport_.calls.empty());
+}
+
+// Guards against a comparison in the wrong direction, and against an invalid
+// file to compare with that is treated as empty.
+TEST_F(CommandLine, CheckComparesWithAnotherFile) {
+  const std::string other = file_ + ".other";
+  std::ofstream(other) << "[desk.d]\nobjective = 0.9\n[desk.old]\n";
+  EXPECT_EQ(Run({"check", file_, "--against", other}), exit_code::kOk);
+  EXPECT_NE(out_.str().find("Changes against " + other + ": 4\n"),
+            std::string::npos)
+      << out_.str();
+  EXPECT_NE(out_.str().find("removed  desk.old"), std::string::npos);
+  EXPECT_EQ(Run({"check", file_, "--json", "--against", file_}),
+            exit_code::kOk);
+  EXPECT_EQ(out_.str(),
+            R"({"valid":true,"faults":[],"warnings":[],"changes":[]})"
+            "\n");
+  std::ofstream(other) << "[desk.d]\nsize = 1\n";
+  EXPECT_EQ(Run({"check", file_, "--against", other}), exit_code::kInvalid);
+  EXPECT_EQ(err_.str(), other + ": desk.d: size: no such key\n");
+  EXPECT_EQ(out_.str(), "");
+  std::remove(other.c_str());
+  EXPECT_EQ(Run({"check", file_, "--against", other}), exit_code::kInvalid);
+  EXPECT_TRUE(transport_.calls.empty());
+}
+
+// Guards against a check that asks the default entry, and against one that
+// passes although the entry it was to compare with did not respond.
+TEST_F(CommandLine, CheckComparesWithGivenEntryOnly) {
+  EXPECT_EQ(Run({"check", file_}), exit_code::kOk);
+  EXPECT_TRUE(transport_.calls.empty());
+  transport_.replies = {
+      Response(200, R"({"version":7,"document":"[desk.d]\n[desk.old]\n"})")};
+  EXPECT_EQ(Run({"check", file_, "--entry", "127.0.0.1:1"}), exit_code::kOk);
+  ASSERT_EQ(transport_.calls.size(), 1U);
+  EXPECT_EQ(transport_.calls[0].entry, "127.0.0.1:1");
+  EXPECT_EQ(transport_.calls[0].line, "GET /v1/config");
+  EXPECT_NE(out_.str().find("Changes against version 7: 3\n"),
+            std::string::npos)
+      << out_.str();
+  EXPECT_EQ(Run({"check", file_, "--entry", "127.0.0.1:1"}),
+            exit_code::kUnreachable);
+  EXPECT_EQ(Run({"check", file_, "--entry", "127.0.0.1:1", "--against", file_}),
+            exit_code::kUsage);
+}
+
+// Guards against a check that ignores the workers, or an invalid file of them.
+TEST_F(CommandLine, CheckComparesWithWorkers) {
+  const std::string workers = file_ + ".workers";
+  std::ofstream(workers) << "[worker.w]\nendpoint = \"x\"\n";
+  EXPECT_EQ(Run({"check", file_, "--strict", "--workers", workers}),
+            exit_code::kInvalid);
+  EXPECT_NE(err_.str().find("warning: endpoint.e: no worker serves"),
+            std::string::npos)
+      << err_.str();
+  std::ofstream(workers) << "[worker.w]\nendpoint = \"e\"\n";
+  EXPECT_EQ(Run({"check", file_, "--strict", "--workers", workers}),
+            exit_code::kOk)
+      << err_.str();
+  std::ofstream(workers) << "[worker.w]\n";
+  EXPECT_EQ(Run({"check", file_, "--workers", workers}), exit_code::kInvalid);
+  EXPECT_EQ(err_.str(),
+            workers + ": worker.w: endpoint: required key is missing\n");
+  std::remove(workers.c_str());
+  EXPECT_EQ(Run({"check", file_, "--workers", workers}), exit_code::kInvalid);
+  EXPECT_EQ(out_.str(), "");
+}
+
 // Guards against a second write after a lost response (F8): the retry must
 // carry the same publication id and base.
 TEST_F(CommandLine, PublishRetriesWithTheSamePublicationId) {
