Start tasks in the order of targets again

Agents keep the order by the field that entries send, which is the target; entries dispatch waiting jobs by target instead of number.

--- a/src/scheduler/job_scheduler_dispatch.cc
+++ b/src/scheduler/job_scheduler_dispatch.cc
@@ -30,14 +30,6 @@
   return kQueueBoundFactor * chosen.wait + margin;
 }
 
-job_standing StandingOf(const scheduled_job& job) {
-  return {.accepted_at = job.accepted_at,
-          .target = job.target,
-          .priority = job.kind->priority,
-          .work = job.work,
-          .done_work = job.done_work};
-}
-
 }  // namespace
 
 // ---- Dispatch -------------------------------------------------------------
@@ -132,14 +124,13 @@
 }
 
 void job_scheduler_impl::DispatchWaitingJobs() {
-  // Jobs with equal virtual deadlines are dispatched by their number.
+  // Jobs with equal targets are dispatched by their number.
   std::vector<std::pair<monotonic_time, std::uint64_t>> waiting;
   waiting.reserve(waiting_jobs_.size());
   for (const std::uint64_t number : waiting_jobs_)
-    waiting.emplace_back(
-        start_order_.VirtualDeadline(StandingOf(*jobs_.at(number))), number);
+    waiting.emplace_back(jobs_.at(number)->target, number);
   std::ranges::sort(waiting);
-  for (const auto& [virtual_deadline, number] : waiting) {
+  for (const auto& [target, number] : waiting) {
     const auto found = jobs_.find(number);
     if (found != jobs_.end())
       DispatchWaitingTasks(*found->second);
@@ -186,8 +177,6 @@
   ++counters_.dispatches;
   if (!job.first_dispatch)
     job.first_dispatch = now_;
-  const microseconds virtual_deadline =
-      start_order_.VirtualDeadline(StandingOf(job)) - now_;
   microseconds queue_bound = QueueBound(*chosen, job.target - now_);
   if (placed) {
     queue_bound = std::max<microseconds>(
@@ -201,8 +190,7 @@
       {"run_us", chosen->run.count()},
       {"free_cpu_milli", chosen->free_cpu_milli},
       {"view_age_us", (now_ - view.last_contact).count()},
-      {"candidates", static_cast<std::int64_t>(candidates.size())},
-      {"virtual_deadline_us", virtual_deadline.count()}};
+      {"candidates", static_cast<std::int64_t>(candidates.size())}};
   if (!step.spec.affinity_label.empty())
     RecordLocalityDispatch(job, task, *chosen, placed, queue_bound, fields);
   RecordDecision(decision_kind::kTaskDispatched, job.job_key,
@@ -220,7 +208,7 @@
   dispatch.predicted = chosen->run;
   dispatch.start_by = job.deadline - Scale(chosen->run, kStartByShare);
   dispatch.target = job.target - now_;
-  dispatch.virtual_deadline = virtual_deadline;
+  dispatch.virtual_deadline = dispatch.target;
   dispatch.queue_bound = queue_bound;
   view.RecordDispatch(step.spec.need);
   view.outgoing.emplace_back(std::move(dispatch));
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -26,7 +26,6 @@
 #include "scheduler/run_end_proof.h"
 #include "scheduler/run_time_model.h"
 #include "scheduler/scheduled_job.h"
-#include "scheduler/start_order.h"
 #include "scheduler/worker_view.h"
 
 namespace egretrack::scheduler {
@@ -195,8 +194,8 @@
   microseconds PredictRunTime(const worker_view& view,
                               const scheduled_job& job,
                               const scheduled_step& step) const;
-  // Dispatches waiting tasks, those of the jobs with the earliest virtual
-  // deadline first.
+  // Dispatches waiting tasks, those of the jobs with the earliest target
+  // first.
   void DispatchWaitingJobs();
   void DispatchWaitingTasks(scheduled_job& job);
   bool DispatchTask(scheduled_job& job, std::uint32_t task);
@@ -241,7 +240,6 @@
   reluctance_sequence reluctances_;
   job_memory job_memory_;
   locality_counters_by_kind locality_counters_;
-  start_order start_order_;
 
   // Views are never removed, so that tasks can point to them; there is one for
   // each agent that ever connected.
--- a/src/scheduler/job_scheduler_jobs.cc
+++ b/src/scheduler/job_scheduler_jobs.cc
@@ -112,7 +112,6 @@
       task.index = index;
       job->tasks.push_back(task);
     }
-    job->work += step.estimate * spec.count;
     step.spec = std::move(spec);
     job->steps.push_back(std::move(step));
   }
@@ -131,10 +130,6 @@
   jobs_by_caller_[job.caller] = &job;
   deadlines_.Add(job.deadline, job.number);
   ++counters_.jobs_accepted;
-  // An estimate beyond the job's deadline tells nothing of its length.
-  start_order_.Observe(
-      job.kind->priority,
-      std::min(CriticalPathLength(job.steps), job.deadline - job.accepted_at));
   RecordDecision(
       decision_kind::kJobAccepted, job.job_key,
       {{"kind", job.kind->name},
@@ -240,7 +235,6 @@
   job.may_have_run = true;
   scheduled_step& step = job.steps[done.step];
   --step.unfinished_tasks;
-  job.done_work += step.estimate;
   if (--job.unfinished_tasks == 0)
     return FinishJob(job, job_state::kCompleted, job_errc::kNotReady);
   if (step.unfinished_tasks == 0)
--- a/src/scheduler/scheduled_job.h
+++ b/src/scheduler/scheduled_job.h
@@ -72,8 +72,6 @@
   std::vector<scheduled_step> steps;
   std::vector<scheduled_task> tasks;
   std::uint32_t unfinished_tasks = 0;
-  microseconds work{0};       // Sum of the estimates of all tasks.
-  microseconds done_work{0};  // Of the tasks that are done.
   std::uint32_t waiting = 0;
   std::uint32_t outstanding = 0;
   std::optional<monotonic_time> first_dispatch;
