--- a/src/job_agent/job_agent_process.cc
+++ b/src/job_agent/job_agent_process.cc
@@ -28,9 +28,10 @@
 constexpr std::size_t kMaxInternalBodyBytes = 4096;
 constexpr std::size_t kMaxConnections = 32;
 constexpr milliseconds kHeaderTimeout{4000};
-// As at an entry, whose frames are smaller.
-constexpr net::frame_limits kFrameLimits{.frame_bytes = 1U << 20U,
-                                         .received_frames = 64,
+// All tasks of a job may come in one frame: 1,200 with 4,000 bytes each. As at
+// an entry, an agent without processor time must not reach the limit of frames.
+constexpr net::frame_limits kFrameLimits{.frame_bytes = 8U << 20U,
+                                         .received_frames = 512,
                                          .sent_frames = 1024,
                                          .queued_bytes = 8U << 20U};
 constexpr unsigned kOk = 200;
--- a/src/job_entry/job_entry_process.cc
+++ b/src/job_entry/job_entry_process.cc
@@ -33,13 +33,14 @@
 constexpr std::uint32_t kMaxInternalHeaderBytes = 8192;
 // Callers are promised 3 s for the header.
 constexpr milliseconds kHeaderTimeout{4000};
-// A frame of an agent lists the runs of one entry, at some 100 bytes each;
-// frames of an entry are smaller. What a peer sends waits here at most until
-// the control thread is handed the frames before it.
-constexpr net::frame_limits kFrameLimits{.frame_bytes = 1U << 20U,
-                                         .received_frames = 16,
+// A frame of an agent lists the ends of runs of one entry, at some 100 bytes
+// each and 500 at most. An entry that gets no processor time for seconds must
+// not reach the limit of received frames: libzmq 4.3.4 aborts the process when
+// a connection fails whose input it has stopped for that limit.
+constexpr net::frame_limits kFrameLimits{.frame_bytes = 128U << 10U,
+                                         .received_frames = 512,
                                          .sent_frames = 1024,
-                                         .queued_bytes = 8U << 20U};
+                                         .queued_bytes = 32U << 20U};
 // The configuration of another entry.
 constexpr std::size_t kMaxPeerResponseBytes = 4U << 20U;
 // Share of the machine's memory that live jobs may take.
