--- a/review/second/case_cancel_wave.cc
+++ b/review/second/case_cancel_wave.cc
@@ -35,7 +35,7 @@
   std::vector<std::string> fronts;
   for (int number = 1; number <= kFronts; ++number)
     fronts.push_back(Host(number));
-  system.Publish(1, {"riassegna", "trova"});
+  system.Publish(1, {"riassegna", "trova"}, kDeadlineMs);
   for (int number = 1; number <= kFronts; ++number)
     system.AddFront("front-" + std::to_string(number), Host(number), fronts);
   std::vector<std::unique_ptr<worker>> workers;
