Look for a caller again before its tasks are dispatched after a standstill

What callers saw: a task at work on two workers. An entry was stopped for 1.5 s while connections of its callers were reset. They sent their jobs to another entry, where they ran; the first one resumed and started the same tasks on other workers until it read the resets some 30 ms later.

Cause: the timers of the control thread are due before the traffic thread has read the ends of the connections. Tasks of silent agents are taken for lost and dispatched again in the same call.

Change: caller_presence decides, without network or clock, whether a caller was seen lately enough. Every dispatch of an entry asks; if not, the thread that owns the connection looks at it, and the job waits for that answer. The kernel keeps a reset that came meanwhile, so that the order in which the process reads its events does not matter.

--- a/src/entry/tests/fake_exchange.h
+++ b/src/entry/tests/fake_exchange.h
@@ -25,6 +25,10 @@
   }
   void Abort() override {}
   bool was_disconnected() const override { return false; }
+  monotonic_time connection_checked_at() const override {
+    return monotonic_clock::now();
+  }
+  void CheckConnection(std::function<void(monotonic_time)> /*open*/) override {}
   void OnDisconnect(std::function<void()> callback) override {
     closed_callback_ = std::move(callback);
   }
--- a/src/include/egretrack/net/http.h
+++ b/src/include/egretrack/net/http.h
@@ -67,6 +67,14 @@
   // Whether the caller had closed its connection, or the sending side of it,
   // when the request was handed to the handler.
   virtual bool was_disconnected() const = 0;
+  // When the server looked for was_disconnected().
+  virtual monotonic_time connection_checked_at() const = 0;
+  // Looks at the connection again. Calls `open` on a traffic thread, with the
+  // time of the look, if the caller has not closed its connection or the
+  // sending side of it; otherwise the callback of OnDisconnect() runs. Calls
+  // neither once the response has begun. `open` must not own a reference to the
+  // exchange.
+  virtual void CheckConnection(std::function<void(monotonic_time)> open) = 0;
   // Frees the body of the request, so that it takes no memory until the
   // response. Must be called by the handler before it passes the exchange on.
   virtual void DiscardBody() {}
--- a/src/include/egretrack/scheduler/decision_record.h
+++ b/src/include/egretrack/scheduler/decision_record.h
@@ -19,6 +19,7 @@
   kJobRefused,
   kJobFailed,
   kJobCancelled,
+  kCallerChecked,  // Before a dispatch; the answer is not known yet.
   kTaskDispatched,
   kTaskReturned,
   kTaskLost,
--- a/src/include/egretrack/scheduler/job_scheduler.h
+++ b/src/include/egretrack/scheduler/job_scheduler.h
@@ -48,6 +48,8 @@
 
 struct job_submission {
   caller_token caller{};
+  // When the caller's connection was last known to be open.
+  monotonic_time caller_seen_at{};
   std::string host;
   std::string path;  // Path prefix of a request kind, then the job key.
   std::optional<milliseconds> deadline;  // Relative to the arrival.
@@ -77,6 +79,12 @@
   caller_token caller{};
 };
 
+// Answers check_caller: the caller's connection was open at `seen_at`.
+struct caller_seen {
+  caller_token caller{};
+  monotonic_time seen_at{};
+};
+
 struct agent_frame {
   link_id link{};
   wire::agent_run_frame frame;
@@ -106,6 +114,7 @@
                                      job_inquiry,
                                      job_cancellation,
                                      caller_disconnected,
+                                     caller_seen,
                                      agent_frame,
                                      configuration_received,
                                      members_received,
@@ -148,6 +157,12 @@
   std::string path;
 };
 
+// Looks whether the caller's connection is still open, and answers with
+// caller_seen or caller_disconnected. Until then no task of its job starts.
+struct check_caller {
+  caller_token caller{};
+};
+
 struct send_to_agent {
   link_id link{};
   wire::entry_run_frame frame;
@@ -180,6 +195,7 @@
 using scheduler_command = std::variant<answer_job,
                                        answer_backlog,
                                        cancel_at_peers,
+                                       check_caller,
                                        send_to_agent,
                                        job_metrics,
                                        decision_record,
@@ -212,6 +228,9 @@
   // Time after which a draining entry stops and answers unfinished jobs.
   milliseconds drain_end{5300};
   milliseconds answer_retention{10000};  // For jobs that are resubmitted.
+  // A task is dispatched only if its caller was seen within this time: one that
+  // has left sends its job to another entry after a while.
+  milliseconds max_caller_age{300};
   // First guess of the run time factor on a worker without the task's affinity
   // label; at least 1.
   double far_run_time_factor = 1.5;
@@ -236,6 +255,7 @@
   std::uint64_t tasks_evacuated = 0;
   // Refused because of the limit of jobs or of their memory.
   std::uint64_t jobs_over_limit = 0;
+  std::uint64_t caller_checks = 0;  // Connections looked at before a dispatch.
 };
 
 // Tasks of one request kind that have an affinity label.
--- a/src/job_entry/job_entry_control.cc
+++ b/src/job_entry/job_entry_control.cc
@@ -433,9 +433,10 @@
   using handlers = event_table<
       scheduler::scheduler_command, &job_entry_control::AnswerJob,
       &job_entry_control::AnswerBacklog, &job_entry_control::CancelAtPeers,
-      &job_entry_control::SendToAgent, &job_entry_control::RecordJobMetrics,
-      &job_entry_control::LogDecision, &job_entry_control::CloseFront,
-      &job_entry_control::FinishDrain, &job_entry_control::RecordRefusal>;
+      &job_entry_control::CheckCaller, &job_entry_control::SendToAgent,
+      &job_entry_control::RecordJobMetrics, &job_entry_control::LogDecision,
+      &job_entry_control::CloseFront, &job_entry_control::FinishDrain,
+      &job_entry_control::RecordRefusal>;
   for (scheduler::scheduler_command& command : commands_)
     handlers::Call(*this, command, now);
   commands_.clear();
@@ -466,6 +467,19 @@
     exchange->Respond(platform::EncodeBacklog(command));
 }
 
+void job_entry_control::CheckCaller(scheduler::check_caller& command,
+                                    monotonic_time& /*now*/) {
+  const auto found = exchanges_.find(command.caller);
+  if (found == exchanges_.end())
+    return;
+  found->second->CheckConnection([&events = dependencies_.events,
+                                  caller =
+                                      command.caller](monotonic_time seen_at) {
+    events.PushRequired(
+        scheduler::scheduler_event(scheduler::caller_seen{caller, seen_at}));
+  });
+}
+
 void job_entry_control::SendToAgent(scheduler::send_to_agent& command,
                                     monotonic_time& /*now*/) {
   dependencies_.agents.Send(
@@ -583,6 +597,7 @@
         dependencies_.traffic.abandoned_requests);
   count("egretrack_store_rows_invalid_total", invalid_rows_);
   count("egretrack_jobs_over_limit_total", counters.jobs_over_limit);
+  count("egretrack_caller_checks_total", counters.caller_checks);
   AddLimitMetrics();
   count("egretrack_log_lines_left_out_total", log_.suppressed());
   for (const auto& [labels, value] : job_outcome_counts_)
--- a/src/job_entry/job_entry_control.h
+++ b/src/job_entry/job_entry_control.h
@@ -155,6 +155,7 @@
   void AnswerJob(scheduler::answer_job& command, monotonic_time& now);
   void AnswerBacklog(scheduler::answer_backlog& command, monotonic_time& now);
   void CancelAtPeers(scheduler::cancel_at_peers& command, monotonic_time& now);
+  void CheckCaller(scheduler::check_caller& command, monotonic_time& now);
   void SendToAgent(scheduler::send_to_agent& command, monotonic_time& now);
   void RecordJobMetrics(scheduler::job_metrics& command, monotonic_time& now);
   void RecordRefusal(scheduler::refusal_metrics& command, monotonic_time& now);
--- a/src/job_entry/job_entry_process.cc
+++ b/src/job_entry/job_entry_process.cc
@@ -270,11 +270,13 @@
       exchange->Respond(platform::EncodeBadRequest(decoded.error()));
       return;
     }
-    // The caller may have submitted the job to another entry since it left.
-    if (exchange->was_disconnected() &&
-        std::holds_alternative<scheduler::job_submission>(*decoded)) {
-      ++traffic_.abandoned_requests;
-      return exchange->Abort();
+    if (auto* job = std::get_if<scheduler::job_submission>(&*decoded)) {
+      // The caller may have submitted the job to another entry since it left.
+      if (exchange->was_disconnected()) {
+        ++traffic_.abandoned_requests;
+        return exchange->Abort();
+      }
+      job->caller_seen_at = exchange->connection_checked_at();
     }
     caller_request request{caller, exchange, std::move(*decoded)};
     if (!events_.TryPush(std::move(request))) {
--- a/src/net/http_session.cc
+++ b/src/net/http_session.cc
@@ -45,10 +45,12 @@
   session_exchange(std::shared_ptr<http_session> session,
                    std::uint64_t request_number,
                    http_request request,
+                   monotonic_time connection_checked_at,
                    bool was_disconnected)
       : session_(std::move(session)),
         request_number_(request_number),
         request_(std::move(request)),
+        connection_checked_at_(connection_checked_at),
         was_disconnected_(was_disconnected) {}
   session_exchange(const session_exchange&) = delete;
   session_exchange& operator=(const session_exchange&) = delete;
@@ -86,6 +88,14 @@
 
   bool was_disconnected() const override { return was_disconnected_; }
 
+  monotonic_time connection_checked_at() const override {
+    return connection_checked_at_;
+  }
+
+  void CheckConnection(std::function<void(monotonic_time)> open) override {
+    session_->CheckConnection(request_number_, std::move(open));
+  }
+
   void DiscardBody() override {
     std::string().swap(request_.body);
     session_->ReportBodyDiscarded(request_number_);
@@ -95,6 +105,7 @@
   const std::shared_ptr<http_session> session_;
   const std::uint64_t request_number_;
   http_request request_;
+  const monotonic_time connection_checked_at_;
   const bool was_disconnected_;
   std::atomic<bool> responded_ = false;
 };
@@ -412,12 +423,14 @@
   Enter(phase::kWaiting, body_bytes);
   request_open_ = true;
   ++server_->open_requests;
+  // Taken before the look, which may wait for this process to be resumed.
+  const monotonic_time checked_at = monotonic_clock::now();
   const bool peer_closed = HasPeerClosed();
   if (buffer_.size() == 0)
     ReadSome();
   const auto exchange = std::make_shared<session_exchange>(
       shared_from_this(), request_number_, FromBeast(std::move(message)),
-      peer_closed);
+      checked_at, peer_closed);
   try {
     server_->on_request(exchange);
   } catch (const std::exception&) {
@@ -479,6 +492,21 @@
   });
 }
 
+void http_session::CheckConnection(std::uint64_t request_number,
+                                   std::function<void(monotonic_time)> open) {
+  PostToStrand(
+      [request_number, open = std::move(open)](http_session& self) mutable {
+        if (self.request_number_ != request_number ||
+            self.phase_ != phase::kWaiting)
+          return;
+        const monotonic_time checked_at = monotonic_clock::now();
+        if (!self.peer_closed_ && !self.HasPeerClosed())
+          return open(checked_at);
+        self.peer_closed_ = true;
+        self.NotifyDisconnect();
+      });
+}
+
 void http_session::SendFinal(http_response response) {
   on_disconnect_ = nullptr;
   Enter(phase::kResponding, response.body.size());
--- a/src/net/http_session.h
+++ b/src/net/http_session.h
@@ -85,6 +85,8 @@
   void AbortRequest(std::uint64_t request_number);
   void OnDisconnect(std::uint64_t request_number,
                     std::function<void()> callback);
+  void CheckConnection(std::uint64_t request_number,
+                       std::function<void(monotonic_time)> open);
 
  private:
   using error_code = boost::system::error_code;
--- a/src/net/tests/http_test.cc
+++ b/src/net/tests/http_test.cc
@@ -315,6 +315,47 @@
   EXPECT_FALSE(stays.get());
 }
 
+// Guards against work that a resumed process begins for a caller whose end of
+// the connection is still unread: a look at the connection finds it first.
+TEST(HttpServer, FindsOnALookThatTheCallerHasLeft) {
+  pending_exchanges pending;
+  std::promise<void> blocked;
+  std::promise<void> resumed;
+  const auto server = *http_server::Listen(
+      {"127.0.0.1", 0}, 1, {}, [&](const http_exchange_ptr& exchange) {
+        if (exchange->request().path() != "/block")
+          return pending.AsHandler()(exchange);
+        blocked.set_value();
+        resumed.get_future().wait_for(kWaitTimeout);
+      });
+  raw_client leaving(server->local_address());
+  leaving.Send("GET /left HTTP/1.1\r\n\r\n");
+  const auto left = pending.Wait();
+  raw_client staying(server->local_address());
+  staying.Send("GET /stayed HTTP/1.1\r\n\r\n");
+  const auto stayed = pending.Wait();
+  // The traffic thread stands still while one caller leaves.
+  raw_client blocking(server->local_address());
+  blocking.Send("GET /block HTTP/1.1\r\n\r\n");
+  ASSERT_EQ(blocked.get_future().wait_for(kWaitTimeout),
+            std::future_status::ready);
+  std::promise<std::string_view> first_news_of_left;
+  std::promise<monotonic_time> seen_at;
+  const monotonic_time asked_at = monotonic_clock::now();
+  left->OnDisconnect([&] { first_news_of_left.set_value("closed"); });
+  leaving.Close();
+  left->CheckConnection(
+      [&](monotonic_time) { first_news_of_left.set_value("open"); });
+  stayed->CheckConnection([&](monotonic_time at) { seen_at.set_value(at); });
+  resumed.set_value();
+  auto news = first_news_of_left.get_future();
+  ASSERT_EQ(news.wait_for(kWaitTimeout), std::future_status::ready);
+  EXPECT_EQ(news.get(), "closed");
+  auto seen = seen_at.get_future();
+  ASSERT_EQ(seen.wait_for(kWaitTimeout), std::future_status::ready);
+  EXPECT_GE(seen.get(), asked_at);
+}
+
 // Guards against a job id that reaches the caller only with the final response.
 TEST(HttpServer, SendsInformationalResponseFirst) {
   pending_exchanges pending;
--- a/src/scheduler/decision_record.cc
+++ b/src/scheduler/decision_record.cc
@@ -19,6 +19,7 @@
                 {"job_refused", true},
                 {"job_failed", true},
                 {"job_cancelled", true},
+                {"caller_checked", false},
                 {"task_dispatched", false},
                 {"task_returned", true},
                 {"task_lost", true},
--- a/src/scheduler/deployment_limits.cc
+++ b/src/scheduler/deployment_limits.cc
@@ -15,6 +15,9 @@
 // Share of the stop grace during which a draining entry accepts jobs; the rest
 // remains for the jobs to end.
 constexpr double kAcceptTimeShare = 0.5;
+// Share of the time until callers resubmit for which an entry dispatches tasks
+// of a caller without looking for it again.
+constexpr double kCallerAgeShare = 0.25;
 // The end of a scaled lease is rounded up.
 constexpr milliseconds kRounding{1};
 
@@ -58,6 +61,11 @@
   const double factor = ResubmitFactor(limits, supervisor_options());
   options.agent_silence = ScaleMs(options.agent_silence, factor);
   options.lost_run_timeout = ScaleMs(options.lost_run_timeout, factor);
+  if (IsSet(limits.resubmit_after)) {
+    options.max_caller_age =
+        std::min(options.max_caller_age,
+                 ScaleMs(limits.resubmit_after, kCallerAgeShare));
+  }
   if (!IsSet(limits.stop_grace))
     return;
   options.drain_end = std::min(options.drain_end, DrainEnd(limits));
--- a/src/scheduler/job_scheduler.cc
+++ b/src/scheduler/job_scheduler.cc
@@ -29,6 +29,7 @@
   const bool valid = !options.entry.empty() && options.max_jobs > 0 &&
                      options.agent_silence.count() > 0 &&
                      options.lost_run_timeout > options.agent_silence &&
+                     options.max_caller_age.count() > 0 &&
                      options.idle_agent_silence >= options.agent_silence &&
                      options.drain_bound >= options.drain_grace &&
                      options.drain_end >= options.drain_bound &&
@@ -58,7 +59,8 @@
   using events = event_table<
       scheduler_event, &job_scheduler_impl::OnSubmission,
       &job_scheduler_impl::OnInquiry, &job_scheduler_impl::OnCancellation,
-      &job_scheduler_impl::OnCallerDisconnected, &job_scheduler_impl::OnFrame,
+      &job_scheduler_impl::OnCallerDisconnected,
+      &job_scheduler_impl::OnCallerSeen, &job_scheduler_impl::OnFrame,
       &job_scheduler_impl::OnConfiguration, &job_scheduler_impl::OnMembers,
       &job_scheduler_impl::OnDrain, &job_scheduler_impl::OnEvacuations>;
   events::Call(*this, event);
--- a/src/scheduler/job_scheduler_dispatch.cc
+++ b/src/scheduler/job_scheduler_dispatch.cc
@@ -137,7 +137,25 @@
   }
 }
 
+// After a suspension the ends of callers' connections are still to be read, in
+// traffic threads, when the timers of this thread are due.
+bool job_scheduler_impl::IsCallerPresent(scheduled_job& job) {
+  const presence judged = job.presence.Judge(now_, options_.max_caller_age);
+  if (judged == presence::kUnknown) {
+    ++counters_.caller_checks;
+    RecordDecision(decision_kind::kCallerChecked, job.job_key,
+                   {{"seen_age_us", (now_ - job.presence.seen_at()).count()},
+                    {"waiting", std::int64_t{job.waiting}},
+                    {"outstanding", std::int64_t{job.outstanding}}});
+    job.presence.RecordCheck();
+    Emit(check_caller{job.caller});
+  }
+  return judged == presence::kPresent;
+}
+
 void job_scheduler_impl::DispatchWaitingTasks(scheduled_job& job) {
+  if (!IsCallerPresent(job))
+    return;
   const std::uint64_t number = job.number;
   for (std::uint32_t task = 0; task < job.tasks.size() && job.waiting > 0;
        ++task) {
--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -85,6 +85,7 @@
   void OnInquiry(job_inquiry& event);
   void OnCancellation(job_cancellation& event);
   void OnCallerDisconnected(caller_disconnected& event);
+  void OnCallerSeen(caller_seen& event);
   void OnFrame(agent_frame& event);
   void OnConfiguration(configuration_received& event);
   void OnMembers(members_received& event);
@@ -198,6 +199,9 @@
   // first.
   void DispatchWaitingJobs();
   void DispatchWaitingTasks(scheduled_job& job);
+  // Whether tasks of the job may start; has the caller looked for if it was not
+  // seen lately.
+  bool IsCallerPresent(scheduled_job& job);
   bool DispatchTask(scheduled_job& job, std::uint32_t task);
   void RefuseUndispatchedJobs();
   void SendFrames();
--- a/src/scheduler/job_scheduler_jobs.cc
+++ b/src/scheduler/job_scheduler_jobs.cc
@@ -78,6 +78,7 @@
     Emit(answer_job{
         job.caller, job_state::kSuperseded, job_errc::kCancelled, {}});
     job.caller = event.caller;
+    job.presence = caller_presence(event.caller_seen_at);
     jobs_by_caller_[job.caller] = &job;
     return true;
   }
@@ -97,6 +98,7 @@
   job->configuration = configuration_;
   job->kind = route.kind;
   job->caller = event.caller;
+  job->presence = caller_presence(event.caller_seen_at);
   job->spec = std::move(event.spec);
   job->accepted_at = now_;
   job->deadline = now_ + event.deadline.value_or(route.kind->deadline);
@@ -204,6 +206,14 @@
   RemoveJob(job);
 }
 
+void job_scheduler_impl::OnCallerSeen(caller_seen& event) {
+  const auto found = jobs_by_caller_.find(event.caller);
+  if (found == jobs_by_caller_.end())
+    return;
+  found->second->presence.RecordSeen(event.seen_at);
+  dispatch_needed_ = true;
+}
+
 // ---- Tasks ----------------------------------------------------------------
 
 void job_scheduler_impl::UnblockSteps(scheduled_job& job) {
--- a/src/scheduler/run_supervisor_membership.cc
+++ b/src/scheduler/run_supervisor_membership.cc
@@ -2,6 +2,7 @@
 #include <vector>
 
 #include "egretrack/scheduler/members.h"
+#include "scheduler/caller_presence.h"
 #include "scheduler/link_selection.h"
 #include "scheduler/run_supervisor_impl.h"
 
@@ -146,9 +147,9 @@
         link.responded() ? kIdleLinkTimeout : kFirstReplyTimeout;
     if (busy)
       timeout = options_.entry_silence;
-    const microseconds silence = now_ - link.last_known_alive();
-    if (silence <= timeout)
+    if (IsPresent(link.last_known_alive(), now_, timeout))
       continue;
+    const microseconds silence = now_ - link.last_known_alive();
     if (link.responded()) {
       RecordDecision(decision_kind::kEntrySilent, "",
                      {{"entry", link.entry()},
--- a/src/scheduler/scheduled_job.h
+++ b/src/scheduler/scheduled_job.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "egretrack/scheduler/job_scheduler.h"
+#include "scheduler/caller_presence.h"
 #include "scheduler/worker_view.h"
 
 namespace egretrack::scheduler {
@@ -65,6 +66,7 @@
   objects::configuration_ptr configuration;
   const objects::request_kind* kind = nullptr;
   caller_token caller{};
+  caller_presence presence;  // Of `caller`.
   std::string spec;
   monotonic_time accepted_at{};
   monotonic_time deadline{};
--- a/src/scheduler/tests/scheduler_driver.h
+++ b/src/scheduler/tests/scheduler_driver.h
@@ -61,14 +61,41 @@
     Handle(configuration_received{MakeConfiguration(version, max_attempts)});
   }
 
+  // A submission is read from an open connection at this moment.
   void Handle(scheduler_event event) {
+    if (auto* job = std::get_if<job_submission>(&event))
+      job->caller_seen_at = now;
     core->Handle(std::move(event), now, commands);
-    core->Advance(now, commands);
+    Advance();
   }
 
   void AdvanceTime(microseconds time) {
     now += time;
+    Advance();
+  }
+
+  void Advance() {
     core->Advance(now, commands);
+    if (callers_stay && AnswerCallerChecks())
+      core->Advance(now, commands);
+  }
+
+  // Callers whose connections are to be looked at since the previous call.
+  std::vector<caller_token> TakeCallerChecks() {
+    std::vector<caller_token> callers;
+    for (; checks_read < commands.size(); ++checks_read) {
+      if (const auto* check = std::get_if<check_caller>(&commands[checks_read]))
+        callers.push_back(check->caller);
+    }
+    return callers;
+  }
+
+  // Answers that the callers are present; returns whether any was asked for.
+  bool AnswerCallerChecks() {
+    const auto callers = TakeCallerChecks();
+    for (const caller_token caller : callers)
+      core->Handle(caller_seen{caller, now}, now, commands);
+    return !callers.empty();
   }
 
   // Advances the clock while the given agents send heartbeats.
@@ -215,6 +242,8 @@
   monotonic_time now{seconds(100)};
   std::vector<scheduler_command> commands;
   std::size_t commands_read = 0;
+  std::size_t checks_read = 0;
+  bool callers_stay = true;  // Answer checks of callers at once.
   std::uint64_t last_sequence = 0;
   // The entry process that agents name in their frames.
   std::optional<incarnation> addressed_process;
--- a/src/scheduler/tests/system_model.cc
+++ b/src/scheduler/tests/system_model.cc
@@ -20,6 +20,9 @@
 constexpr milliseconds kStopTime{50};
 constexpr milliseconds kReportInterval{1500};
 constexpr milliseconds kTick{2};
+// Until the end of a connection, or an answer to a look at it, has passed from
+// a traffic thread to the control thread.
+constexpr milliseconds kSlowestNews{40};
 constexpr std::uint32_t kMaxAttempts = 3;
 constexpr double kSlowestWorkerClock = 0.98;
 constexpr std::int64_t kFirstBirth = 1'000'000;
@@ -50,7 +53,10 @@
   std::uint64_t process = 0;
   microseconds clock_offset{0};
   monotonic_time wakeup{};
-  std::set<std::uint64_t> callers;
+  monotonic_time paused_until{};
+  // When the last event of each source is read.
+  std::map<std::string, monotonic_time> unread;
+  std::set<std::uint64_t> callers;  // That are waiting for an answer.
 };
 
 struct system_model::agent {
@@ -58,6 +64,7 @@
     std::uint64_t transport = 0;
     bool open = false;
     monotonic_time cut_until{};
+    std::uint64_t silent_transport = 0;
     monotonic_time last_to_entry{};
     monotonic_time last_to_agent{};
     std::optional<send_to_entry> last_frame;
@@ -66,6 +73,8 @@
   std::uint64_t process = 0;
   microseconds clock_offset{0};
   monotonic_time wakeup{};
+  monotonic_time paused_until{};
+  std::map<std::string, monotonic_time> unread;  // As of an entry.
   std::vector<link> links{kEntries};
   std::optional<worker_report> stored;
 };
@@ -186,11 +195,13 @@
     now_ = tick;
     AdvanceWorkers();
     for (std::size_t index = 0; index < kEntries; ++index) {
-      if (entries_[index]->core && now_ >= entries_[index]->wakeup)
+      if (entries_[index]->core && now_ >= entries_[index]->wakeup &&
+          now_ >= entries_[index]->paused_until)
         HandleEntry(index, std::nullopt);
     }
     for (std::size_t index = 0; index < kAgents; ++index) {
-      if (agents_[index]->core && now_ >= agents_[index]->wakeup)
+      if (agents_[index]->core && now_ >= agents_[index]->wakeup &&
+          now_ >= agents_[index]->paused_until)
         HandleAgent(index, std::nullopt);
     }
   }
@@ -254,6 +265,49 @@
   target.process = std::move(process);
 }
 
+// What arrives in a pause is read in the order of its source, and the timers of
+// the process may be first.
+monotonic_time system_model::ReadTime(monotonic_time paused_until,
+                                      monotonic_time& last_of_source) {
+  if (now_ < paused_until) {
+    last_of_source =
+        std::max(last_of_source,
+                 paused_until + RandomTime(milliseconds(0), kSlowestNews));
+  }
+  last_of_source = std::max(last_of_source, now_);
+  return last_of_source;
+}
+
+void system_model::ReceiveAtEntry(std::size_t index, scheduler_event event) {
+  entry& target = *entries_[index];
+  const auto* frame = std::get_if<agent_frame>(&event);
+  const std::string source = frame != nullptr ? frame->frame.agent : "";
+  const monotonic_time at =
+      ReadTime(target.paused_until, target.unread[source]);
+  if (at == now_)
+    return HandleEntry(index, std::move(event));
+  events_.emplace(
+      at, [this, index, process = target.process, event = std::move(event)] {
+        if (entries_[index]->process == process)
+          HandleEntry(index, event);
+      });
+}
+
+void system_model::ReceiveAtAgent(std::size_t index, supervisor_event event) {
+  agent& target = *agents_[index];
+  const auto* frame = std::get_if<entry_frame>(&event);
+  const std::string source = frame != nullptr ? frame->frame.entry : "";
+  const monotonic_time at =
+      ReadTime(target.paused_until, target.unread[source]);
+  if (at == now_)
+    return HandleAgent(index, std::move(event));
+  events_.emplace(
+      at, [this, index, process = target.process, event = std::move(event)] {
+        if (agents_[index]->process == process)
+          HandleAgent(index, event);
+      });
+}
+
 void system_model::HandleEntry(std::size_t index,
                                std::optional<scheduler_event> event) {
   entry& target = *entries_[index];
@@ -288,6 +342,8 @@
     SendToAgent(index, std::move(*send));
   else if (const auto* answer = std::get_if<answer_job>(&command))
     At(milliseconds(1), [this, answer = *answer] { OnAnswer(answer); });
+  else if (const auto* check = std::get_if<check_caller>(&command))
+    LookAtCaller(index, check->caller);
 }
 
 void system_model::PerformAgentCommand(std::size_t index,
@@ -333,20 +389,42 @@
   if (!target.core)
     return;
   target.core.reset();
-  for (const std::uint64_t caller : std::exchange(target.callers, {})) {
-    const std::size_t number = jobs_by_caller_.at(caller);
-    jobs_by_caller_.erase(caller);
-    At(kResendDelay, [this, number] { Submit(number); });
-  }
+  for (const std::uint64_t caller : std::exchange(target.callers, {}))
+    LeaveEntry(index, caller);
   At(down_time, [this, index] { StartEntry(index); });
 }
 
+void system_model::PauseEntry(std::size_t index,
+                              milliseconds duration,
+                              bool all_leave) {
+  entry& target = *entries_[index];
+  target.paused_until = std::max(target.paused_until, now_ + duration);
+  std::vector<std::uint64_t> leaving;
+  for (const std::uint64_t caller : target.callers) {
+    if (all_leave || Draw(0.5))
+      leaving.push_back(caller);
+  }
+  for (const std::uint64_t caller : leaving)
+    LeaveEntry(index, caller);
+}
+
+void system_model::PauseAgent(std::size_t index, milliseconds duration) {
+  agent& target = *agents_[index];
+  target.paused_until = std::max(target.paused_until, now_ + duration);
+}
+
+void system_model::SilenceLinks(std::size_t index) {
+  for (agent::link& each : agents_[index]->links)
+    each.silent_transport = each.transport;
+}
+
 // ---- Network --------------------------------------------------------------
 
 void system_model::SendToEntry(std::size_t from, send_to_entry command) {
   agent& sender = *agents_[from];
   agent::link& link = sender.links[command.entry];
-  if (!link.open || now_ < link.cut_until)
+  if (!link.open || now_ < link.cut_until ||
+      link.silent_transport == link.transport)
     return;
   link.last_to_entry = std::max(
       link.last_to_entry, now_ + RandomTime(milliseconds(0), milliseconds(2)));
@@ -387,12 +465,12 @@
           target.links[to].transport != transport) {
         return;
       }
-      HandleAgent(from,
-                  entry_frame{static_cast<entry_index>(to), std::move(frame)});
+      ReceiveAtAgent(
+          from, entry_frame{static_cast<entry_index>(to), std::move(frame)});
     };
   }
-  HandleEntry(to,
-              agent_frame{link_id{found->second}, std::move(command.frame)});
+  ReceiveAtEntry(to,
+                 agent_frame{link_id{found->second}, std::move(command.frame)});
 }
 
 void system_model::SendToAgent(std::size_t from, send_to_agent command) {
@@ -410,6 +488,8 @@
   if (to == kAgents || now_ < agents_[to]->links[from].cut_until)
     return;
   agent::link& path = agents_[to]->links[from];
+  if (path.silent_transport == path.transport)
+    return;
   path.last_to_agent = std::max(
       path.last_to_agent, now_ + RandomTime(milliseconds(0), milliseconds(2)));
   events_.emplace(path.last_to_agent,
@@ -478,7 +558,7 @@
           event.call_time = now_ - call->sent;
       },
       answer);
-  HandleAgent(call->agent, std::move(answer));
+  ReceiveAtAgent(call->agent, std::move(answer));
 }
 
 // A call ends with the process of the worker that it was sent to.
@@ -649,7 +729,7 @@
     const microseconds delay =
         Draw(0.1) ? RandomTime(milliseconds(1), milliseconds(3000))
                   : RandomTime(milliseconds(0), milliseconds(2));
-    At(delay, [this, index, report] { HandleAgent(index, report); });
+    At(delay, [this, index, report] { ReceiveAtAgent(index, report); });
   }
 }
 
@@ -673,8 +753,46 @@
   job_submission submission =
       scheduler_driver::MakeJob(caller, sent.key, kTasksPerJob);
   submission.deadline = milliseconds(2500);
+  submission.caller_seen_at = now_ + target.clock_offset;
   submission.steps[0].estimate = sent.run_time;
-  HandleEntry(index, std::move(submission));
+  ReceiveAtEntry(index, std::move(submission));
+}
+
+void system_model::LeaveEntry(std::size_t index, std::uint64_t caller) {
+  entry& left = *entries_[index];
+  left.callers.erase(caller);
+  const auto found = jobs_by_caller_.find(caller);
+  if (found == jobs_by_caller_.end())
+    return;
+  const std::size_t number = found->second;
+  jobs_by_caller_.erase(found);
+  At(kResendDelay, [this, number] { Submit(number); });
+  At(RandomTime(milliseconds(0), kSlowestNews),
+     [this, index, caller, process = left.process] {
+       if (entries_[index]->process == process)
+         ReceiveAtEntry(index, caller_disconnected{caller_token{caller}});
+     });
+}
+
+// A traffic thread looks, and passes on what it has seen.
+void system_model::LookAtCaller(std::size_t index, caller_token caller) {
+  At(RandomTime(milliseconds(0), kSlowestNews),
+     [this, index, caller, process = entries_[index]->process] {
+       entry& target = *entries_[index];
+       if (target.process != process)
+         return;
+       if (now_ < target.paused_until)
+         return At(target.paused_until - now_,
+                   [this, index, caller] { LookAtCaller(index, caller); });
+       if (!target.callers.contains(static_cast<std::uint64_t>(caller)))
+         return;
+       const caller_seen seen{caller, now_ + target.clock_offset};
+       At(RandomTime(milliseconds(0), kSlowestNews),
+          [this, index, seen, process] {
+            if (entries_[index]->process == process)
+              ReceiveAtEntry(index, seen);
+          });
+     });
 }
 
 void system_model::OnAnswer(const answer_job& answer) {
@@ -770,9 +888,9 @@
         target.late_share = fault.target % 2 == 0 ? 0.3 : 0.8;
         return;
       case model_fault_kind::kOddReport:
-        return HandleAgent(index, odd);
+        return ReceiveAtAgent(index, odd);
       case model_fault_kind::kDeregister:
-        return HandleAgent(index, worker_deregistered{odd.id});
+        return ReceiveAtAgent(index, worker_deregistered{odd.id});
       case model_fault_kind::kCutLink:
         link.cut_until = now_ + fault.duration;
         return;
@@ -783,6 +901,13 @@
       case model_fault_kind::kSlowAnswers:
         target.slow_answers_until = now_ + fault.duration;
         return;
+      case model_fault_kind::kPauseEntry:
+        return PauseEntry(entry_index, fault.duration * 2,
+                          fault.target % 2 == 0);
+      case model_fault_kind::kPauseAgent:
+        return PauseAgent(index, fault.duration * 2);
+      case model_fault_kind::kSilenceLinks:
+        return SilenceLinks(index);
       case model_fault_kind::kCount:
         return;
     }
--- a/src/scheduler/tests/system_model.h
+++ b/src/scheduler/tests/system_model.h
@@ -28,6 +28,9 @@
   kCutLink,        // Frames between an entry and an agent are lost.
   kReconnectLink,  // By the transport; frames on the way arrive late.
   kSlowAnswers,  // Calls take effect at once and are answered 0 to 90 ms late.
+  kPauseEntry,   // It stands still while some of its callers leave.
+  kPauseAgent,
+  kSilenceLinks,  // All frames on the open links of an agent are lost.
   kCount,
 };
 
@@ -67,11 +70,18 @@
   void StartEntry(std::size_t index);
   void StartAgent(std::size_t index);
   void StartWorker(std::size_t index, bool new_id, milliseconds birth_offset);
+  monotonic_time ReadTime(monotonic_time paused_until,
+                          monotonic_time& last_of_source);
+  void ReceiveAtEntry(std::size_t index, scheduler_event event);
+  void ReceiveAtAgent(std::size_t index, supervisor_event event);
   void HandleEntry(std::size_t index, std::optional<scheduler_event> event);
   void HandleAgent(std::size_t index, std::optional<supervisor_event> event);
   void PerformEntryCommand(std::size_t index, scheduler_command& command);
   void PerformAgentCommand(std::size_t index, supervisor_command& command);
   void KillEntry(std::size_t index, milliseconds down_time);
+  void PauseEntry(std::size_t index, milliseconds duration, bool all_leave);
+  void PauseAgent(std::size_t index, milliseconds duration);
+  void SilenceLinks(std::size_t index);
 
   // ---- Network ----
   void SendToEntry(std::size_t from, send_to_entry command);
@@ -98,6 +108,9 @@
 
   // ---- Callers ----
   void Submit(std::size_t number);
+  // The caller's connection is reset, and it sends its job again.
+  void LeaveEntry(std::size_t index, std::uint64_t caller);
+  void LookAtCaller(std::size_t index, caller_token caller);
   void OnAnswer(const answer_job& answer);
 
   void At(microseconds delay, std::function<void()> action);
