Presume all connections dead that show no life since a call was due

What callers saw: for up to 5 s after all open connections to the store had gone silent, entries refused jobs on an added route with 404 and ran jobs on a dropped one.

Cause: a watch on a silent connection ends after 2.5 s, and the next one took another connection from the pool, which had gone silent at the same time. The pool took every connection for usable that was idle for less than 15 s and not closed; three are open from the start.

HttpClient.ReplacesAllConnectionsAfterOneWentSilent and EndsAHeldCallWhenItsConnectionIsPresumedDead fail without the change.

Change: connection_liveness decides, without network or clock, which connections to an address are presumed dead: those on which nothing was received since the answer of a call that timed out was due. Idle ones are closed. Calls to the store and to other entries that wait on such connections end at once. Bytes that wait unread when a timer is due count as received, as in a process that stood still.

--- a/src/agent/tests/endpoint_client_test.cc
+++ b/src/agent/tests/endpoint_client_test.cc
@@ -53,7 +53,7 @@
       : calls_(calls) {}
   void Call(const net::tcp_address& /*address*/,
             net::http_request request,
-            milliseconds /*timeout*/,
+            net::call_limits /*limits*/,
             callback done) override {
     calls_.push_back(std::move(request));
     done(Response(200, {}));
--- a/src/include/egretrack/net/http.h
+++ b/src/include/egretrack/net/http.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "egretrack/base/result.h"
@@ -164,6 +165,15 @@
   milliseconds connect_timeout{1000};
   // Of the header of a response, and of each trailer and chunk extension.
   std::uint32_t max_header_bytes = 65536;
+  // Ends calls without a response with errc::kTimeout when their connections
+  // are presumed dead, for servers that hold calls open for long.
+  bool end_silent_calls = false;
+};
+
+struct call_limits {
+  milliseconds timeout{0};  // Of the whole call; 0: none.
+  // Part of `timeout` for which the server may hold the response back.
+  milliseconds hold{0};
 };
 
 class http_client {
@@ -175,12 +185,22 @@
 
   // Calls `done` once, on a traffic thread. If a pooled connection turns out to
   // be closed, the request is sent again on a new connection only if no byte of
-  // it had been written; otherwise the call fails with kSent. `timeout` bounds
-  // the whole call; 0 means no timeout.
+  // it had been written; otherwise the call fails with kSent. When a call gets
+  // no byte of a response in time, the connections to its address on which
+  // nothing was received since the response was due are presumed dead and are
+  // not used again: all open connections may go silent at once while new ones
+  // work.
   virtual void Call(const tcp_address& address,
                     http_request request,
-                    milliseconds timeout,
+                    call_limits limits,
                     callback done) = 0;
+  void Call(const tcp_address& address,
+            http_request request,
+            milliseconds timeout,
+            callback done) {
+    Call(address, std::move(request), call_limits{timeout, {}},
+         std::move(done));
+  }
 
   // Blocks the calling thread until the call ends.
   http_reply CallAndWait(const tcp_address& address,
--- a/src/job_agent/worker_client.cc
+++ b/src/job_agent/worker_client.cc
@@ -27,7 +27,7 @@
 }
 
 void worker_client::Start(const scheduler::start_run& command) {
-  Call(command.target, platform::EncodeStart(command), command.time_limit,
+  Call(command.target, platform::EncodeStart(command), {command.time_limit, {}},
        [id = command.id](const net::http_reply& reply, microseconds call_time) {
          auto answer = platform::DecodeStart(id, reply);
          answer.call_time = call_time;
@@ -36,7 +36,7 @@
 }
 
 void worker_client::Stop(const scheduler::stop_run& command) {
-  Call(command.target, platform::EncodeStop(command), command.time_limit,
+  Call(command.target, platform::EncodeStop(command), {command.time_limit, {}},
        [id = command.id](const net::http_reply& reply, microseconds call_time) {
          auto answer = platform::DecodeStop(id, reply);
          answer.call_time = call_time;
@@ -46,7 +46,7 @@
 
 void worker_client::Poll(const scheduler::poll_worker& command) {
   Call(command.target, platform::EncodePoll(command),
-       command.wait + command.time_limit,
+       {command.wait + command.time_limit, command.wait},
        [](const net::http_reply& reply, microseconds call_time) {
          auto answer = platform::DecodePoll(reply);
          answer.call_time = call_time;
@@ -56,7 +56,7 @@
 
 void worker_client::Call(const scheduler::worker_call_target& target,
                          net::http_request request,
-                         milliseconds timeout,
+                         net::call_limits limits,
                          outcome_decoder decode) {
   const auto address = net::tcp_address::Parse(target.address);
   if (!address) {
@@ -65,7 +65,7 @@
     on_event_(decode(reply, microseconds(0)));
     return;
   }
-  client_->Call(*address, std::move(request), timeout,
+  client_->Call(*address, std::move(request), limits,
                 [this, decode = std::move(decode),
                  sent = monotonic_clock::now()](const net::http_reply& reply) {
                   on_event_(decode(reply, monotonic_clock::now() - sent));
--- a/src/job_agent/worker_client.h
+++ b/src/job_agent/worker_client.h
@@ -30,7 +30,7 @@
 
   void Call(const scheduler::worker_call_target& target,
             net::http_request request,
-            milliseconds timeout,
+            net::call_limits limits,
             outcome_decoder decode);
 
   const event_sink on_event_;
--- a/src/job_entry/job_entry_process.cc
+++ b/src/job_entry/job_entry_process.cc
@@ -119,7 +119,8 @@
         peers_(net::http_client::Create(
             {.connections_per_address = 1,
              .max_response_bytes = kMaxPeerResponseBytes,
-             .max_header_bytes = kMaxHeaderBytes})) {}
+             .max_header_bytes = kMaxHeaderBytes,
+             .end_silent_calls = true})) {}
   process(const process&) = delete;
   process& operator=(const process&) = delete;
 
--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -26,26 +26,43 @@
 
 }  // namespace
 
-std::optional<connection_pool::socket> connection_pool::Acquire(
+std::optional<connection_pool::idle_connection> connection_pool::Acquire(
     const std::string& address) {
   const std::lock_guard lock(mutex_);
-  auto& idle = idle_[address];
+  auto& idle = servers_[address].idle;
   while (!idle.empty()) {
     idle_connection latest = std::move(idle.back());
     idle.pop_back();
     const bool recently_used =
-        monotonic_clock::now() - latest.idle_since < kMaxIdleTime;
+        monotonic_clock::now() - latest.received_at < kMaxIdleTime;
     if (recently_used && IsReusable(latest.connection))
-      return std::move(latest.connection);
+      return latest;
   }
   return std::nullopt;
 }
 
 void connection_pool::Release(const std::string& address, socket connection) {
   const std::lock_guard lock(mutex_);
-  auto& idle = idle_[address];
+  auto& idle = servers_[address].idle;
   if (idle.size() < limit_)
     idle.push_back({std::move(connection), monotonic_clock::now()});
 }
 
+void connection_pool::RecordSilence(const std::string& address,
+                                    monotonic_time due_at) {
+  const std::lock_guard lock(mutex_);
+  server_connections& server = servers_[address];
+  server.liveness.RecordSilence(due_at);
+  std::erase_if(server.idle, [&server](const idle_connection& each) {
+    return !server.liveness.IsAlive(each.received_at);
+  });
+}
+
+bool connection_pool::IsAlive(const std::string& address,
+                              monotonic_time received_at) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = servers_.find(address);
+  return found == servers_.end() || found->second.liveness.IsAlive(received_at);
+}
+
 }  // namespace egretrack::net
--- a/src/net/http_call.cc
+++ b/src/net/http_call.cc
@@ -35,15 +35,34 @@
 
 }  // namespace
 
+std::vector<std::shared_ptr<http_call>> http_client_state::OpenCalls() {
+  std::vector<std::shared_ptr<http_call>> open;
+  const std::lock_guard lock(mutex);
+  for (http_call* const call : calls) {
+    if (auto locked = call->weak_from_this().lock())
+      open.push_back(std::move(locked));
+  }
+  return open;
+}
+
+void http_client_state::RecordSilence(const std::string& address,
+                                      monotonic_time due_at) {
+  pool.RecordSilence(address, due_at);
+  if (!options.end_silent_calls)
+    return;
+  for (const auto& call : OpenCalls())
+    call->EndIfSilent(address);
+}
+
 http_call::http_call(std::shared_ptr<http_client_state> client,
                      const tcp_address& address,
                      http_request request,
-                     milliseconds timeout,
+                     call_limits limits,
                      http_client::callback done)
     : client_(std::move(client)),
       address_(address),
       address_text_(address.ToString()),
-      timeout_(timeout),
+      limits_(limits),
       done_(std::move(done)),
       socket_(AcquireConnection()),
       call_timer_(socket_.get_executor()),
@@ -64,8 +83,10 @@
 http_call::socket http_call::AcquireConnection() {
   auto idle = client_->pool.Acquire(address_text_);
   reused_ = idle.has_value();
-  if (reused_)
-    return std::move(*idle);
+  if (reused_) {
+    received_at_ = idle->received_at;
+    return std::move(idle->connection);
+  }
   return socket(asio::make_strand(client_->io.context()));
 }
 
@@ -80,19 +101,43 @@
   });
 }
 
+void http_call::EndIfSilent(const std::string& address) {
+  if (address != address_text_)
+    return;
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (self->IsUnanswered() &&
+        !self->client_->pool.IsAlive(self->address_text_, self->received_at_))
+      self->Fail(errc::kTimeout, "the connection went silent");
+  });
+}
+
 void http_call::Begin() {
   if (client_->stopping)
     return Fail(errc::kUnavailable, "the client is shutting down");
-  if (timeout_.count() > 0) {
-    call_timer_.Start(timeout_, [self = shared_from_this()] {
-      self->Fail(errc::kTimeout, "no response in time");
-    });
+  if (limits_.timeout.count() > 0) {
+    call_timer_.Start(limits_.timeout,
+                      [self = shared_from_this()] { self->OnTimeout(); });
   }
+  sent_at_ = monotonic_clock::now();
   if (reused_)
     return WriteSome();
   Connect();
 }
 
+// A process that stood still finds its timer due before it has read what came
+// meanwhile, so bytes that wait to be read count as received.
+bool http_call::IsUnanswered() const {
+  error_code failure;
+  return done_ && stage_ == call_stage::kSent && !response_began_ &&
+         socket_.available(failure) == 0;
+}
+
+void http_call::OnTimeout() {
+  if (IsUnanswered())
+    client_->RecordSilence(address_text_, sent_at_ + limits_.hold);
+  Fail(errc::kTimeout, "no response in time");
+}
+
 void http_call::Connect() {
   error_code failure;
   const auto ip = asio::ip::make_address(address_.host, failure);
@@ -114,6 +159,7 @@
   connect_timer_.Stop();
   if (failure)
     return Fail(errc::kUnavailable, "connect: " + failure.message());
+  received_at_ = monotonic_clock::now();
   error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
   WriteSome();
@@ -164,6 +210,7 @@
     return;
   if (failure)
     return Fail(ToErrc(failure), "receive: " + failure.message());
+  response_began_ = true;
   if (parser_->get().result_int() < kFirstFinalStatus)
     return ReadHeader();
   // Without a length or chunked encoding, a complete body can't be told from a
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_set>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -37,6 +38,13 @@
   std::atomic<bool> stopping = false;
   std::mutex mutex;
   std::unordered_set<http_call*> calls;  // Guarded by `mutex`.
+
+  // Skips calls that are being created or destroyed, as weak_from_this() can't
+  // be locked for them.
+  std::vector<std::shared_ptr<http_call>> OpenCalls();
+  // A call to the address whose response was due at `due_at` got no byte in
+  // time.
+  void RecordSilence(const std::string& address, monotonic_time due_at);
 };
 
 // One request and its response over one connection. Its pending operations keep
@@ -47,7 +55,7 @@
   http_call(std::shared_ptr<http_client_state> client,
             const tcp_address& address,
             http_request request,
-            milliseconds timeout,
+            call_limits limits,
             http_client::callback done);
   ~http_call();
   http_call(const http_call&) = delete;
@@ -56,12 +64,18 @@
   void Start();
   // Fails the call unless it has already ended.
   void Abort();
+  // Fails the call if it goes to the address and its connection is presumed
+  // dead.
+  void EndIfSilent(const std::string& address);
 
  private:
   using socket = boost::asio::ip::tcp::socket;
   using error_code = boost::system::error_code;
 
   socket AcquireConnection();
+  void OnTimeout();
+  // Whether nothing was received on the connection since the request was sent.
+  bool IsUnanswered() const;
   void Begin();
   void Connect();
   void OnConnected(const error_code& failure);
@@ -77,10 +91,13 @@
   const std::shared_ptr<http_client_state> client_;
   const tcp_address address_;
   const std::string address_text_;
-  const milliseconds timeout_;
+  const call_limits limits_;
   http_client::callback done_;
 
-  bool reused_ = false;  // The connection was taken from the pool.
+  bool reused_ = false;           // The connection was taken from the pool.
+  monotonic_time received_at_{};  // Last, on the connection.
+  monotonic_time sent_at_{};
+  bool response_began_ = false;
   socket socket_;
   timeout_timer call_timer_;
   timeout_timer connect_timer_;
--- a/src/net/http_client.cc
+++ b/src/net/http_client.cc
@@ -23,26 +23,18 @@
 
   void Call(const tcp_address& address,
             http_request request,
-            milliseconds timeout,
+            call_limits limits,
             callback done) override {
     const auto call = std::make_shared<http_call>(
-        state_, address, std::move(request), timeout, std::move(done));
+        state_, address, std::move(request), limits, std::move(done));
     call->Start();
   }
 
  private:
-  // weak_from_this() can't be locked while a call is being created; such a call
-  // checks `stopping` when it starts.
+  // A call that is being created is not among the open ones; it checks
+  // `stopping` when it starts.
   void AbortCalls() {
-    std::vector<std::shared_ptr<http_call>> calls;
-    {
-      const std::lock_guard lock(state_->mutex);
-      for (http_call* const call : state_->calls) {
-        if (auto locked = call->weak_from_this().lock())
-          calls.push_back(std::move(locked));
-      }
-    }
-    for (const auto& call : calls)
+    for (const auto& call : state_->OpenCalls())
       call->Abort();
   }
 
--- a/src/net/tests/http_test.cc
+++ b/src/net/tests/http_test.cc
@@ -549,6 +549,66 @@
   }
 }
 
+// Opens several connections at the same time, which then stay in the pool.
+void FillPool(http_client& client, const silenceable_server& server) {
+  constexpr int kCalls = 8;
+  while (server.connections() < 3) {
+    std::atomic<int> ended = 0;
+    for (int call = 0; call < kCalls; ++call) {
+      client.Call(server.address(), kGet, kCallTimeout,
+                  [&](const http_reply&) { ++ended; });
+    }
+    ASSERT_TRUE(WaitUntil([&] { return ended == kCalls; }));
+  }
+}
+
+// Guards against one time-out after another, when all open connections have
+// gone silent at once and several of them wait in the pool (review, case 10).
+TEST(HttpClient, ReplacesAllConnectionsAfterOneWentSilent) {
+  silenceable_server server;
+  const auto client = http_client::Create({});
+  FillPool(*client, server);
+  server.Silence();
+  const auto lost =
+      client->CallAndWait(server.address(), kGet, milliseconds(100));
+  EXPECT_EQ(lost.failure.cause.code, errc::kTimeout);
+  const auto repeated =
+      client->CallAndWait(server.address(), kGet, kCallTimeout);
+  EXPECT_TRUE(repeated.ok) << repeated.failure.cause.ToString();
+}
+
+// Guards against a call that waits long for its response on a connection that
+// is known to be dead.
+TEST(HttpClient, EndsAHeldCallWhenItsConnectionIsPresumedDead) {
+  silenceable_server server;
+  std::promise<http_reply> held;
+  const auto client = http_client::Create({.end_silent_calls = true});
+  client->Call(server.address(), {"GET", "/hold", {}, {}},
+               call_limits{seconds(60), seconds(60)},
+               [&](http_reply reply) { held.set_value(std::move(reply)); });
+  ASSERT_TRUE(WaitUntil([&] { return server.connections() == 1; }));
+  client->CallAndWait(server.address(), {"GET", "/hold", {}, {}},
+                      milliseconds(100));
+  auto reply = held.get_future();
+  ASSERT_EQ(reply.wait_for(kWaitTimeout), std::future_status::ready);
+  EXPECT_EQ(reply.get().failure.cause.code, errc::kTimeout);
+}
+
+// Guards against connections that are given up because a server holds a call as
+// long as it may and then answers too late: others have shown life since.
+TEST(HttpClient, KeepsConnectionsThatAnsweredSinceACallWasDue) {
+  silenceable_server server;
+  std::promise<http_reply> held;
+  const auto client = http_client::Create({});
+  client->Call(server.address(), {"GET", "/hold", {}, {}}, milliseconds(200),
+               [&](http_reply reply) { held.set_value(std::move(reply)); });
+  ASSERT_TRUE(WaitUntil([&] { return server.connections() == 1; }));
+  ASSERT_TRUE(client->CallAndWait(server.address(), kGet, kCallTimeout).ok);
+  EXPECT_FALSE(held.get_future().get().ok);
+  EXPECT_TRUE(client->CallAndWait(server.address(), kGet, kCallTimeout).ok);
+  EXPECT_EQ(server.connections(), 2);
+}
+
 // Guards against calls whose callback never runs if the client is destroyed.
 TEST(HttpClient, DestructorFailsOpenCalls) {
   pending_exchanges pending;
--- a/src/net/tests/raw_peer.h
+++ b/src/net/tests/raw_peer.h
@@ -1,7 +1,9 @@
 #ifndef EGRETRACK_NET_TESTS_RAW_PEER_H_
 #define EGRETRACK_NET_TESTS_RAW_PEER_H_
 
+#include <atomic>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -95,6 +97,76 @@
   std::thread thread_;
 };
 
+// Answers requests without a body, except those for "/hold". Its open
+// connections may go silent for good while new ones work.
+class silenceable_server {
+ public:
+  silenceable_server()
+      : acceptor_(context_, {boost::asio::ip::make_address("127.0.0.1"), 0}) {
+    Accept();
+    thread_ = std::thread([this] { context_.run(); });
+  }
+  ~silenceable_server() {
+    context_.stop();
+    thread_.join();
+  }
+  silenceable_server(const silenceable_server&) = delete;
+  silenceable_server& operator=(const silenceable_server&) = delete;
+
+  void Silence() { silent_connections_ = connections_.load(); }
+  int connections() const { return connections_; }
+  tcp_address address() const {
+    return {"127.0.0.1", acceptor_.local_endpoint().port()};
+  }
+
+ private:
+  struct connection {
+    boost::asio::ip::tcp::socket socket;
+    int number = 0;
+    std::string input;
+  };
+
+  void Accept() {
+    acceptor_.async_accept([this](const boost::system::error_code& failure,
+                                  boost::asio::ip::tcp::socket socket) {
+      if (failure)
+        return;
+      auto accepted = std::make_shared<connection>(std::move(socket));
+      accepted->number = ++connections_;
+      Read(std::move(accepted));
+      Accept();
+    });
+  }
+
+  void Read(const std::shared_ptr<connection>& peer) {
+    boost::asio::async_read_until(
+        peer->socket, boost::asio::dynamic_buffer(peer->input), "\r\n\r\n",
+        [this, peer](const boost::system::error_code& failure, std::size_t) {
+          if (!failure)
+            Answer(peer);
+        });
+  }
+
+  void Answer(const std::shared_ptr<connection>& peer) {
+    const bool answers = peer->number > silent_connections_ &&
+                         peer->input.find("/hold") == std::string::npos;
+    peer->input.clear();
+    boost::system::error_code ignored;
+    if (answers)
+      boost::asio::write(peer->socket, boost::asio::buffer(kResponse), ignored);
+    Read(peer);
+  }
+
+  static constexpr std::string_view kResponse =
+      "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+  boost::asio::io_context context_;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::atomic<int> connections_ = 0;
+  std::atomic<int> silent_connections_ = 0;
+  std::thread thread_;
+};
+
 }  // namespace egretrack::net
 
 #endif  // EGRETRACK_NET_TESTS_RAW_PEER_H_
