Repeat a call to another entry once when it timed out

Cause: the call is made once. After a time-out the silent connections are presumed dead, so that a repetition takes a new one.

Change: peer_cancellations decides that a cancellation without an answer in time is sent once more; a request for a configuration is repeated at the same entry.

--- a/src/job_entry/job_entry_control.cc
+++ b/src/job_entry/job_entry_control.cc
@@ -64,6 +64,8 @@
     return peer_cancel_answer::kCancelled;
   if (reply.ok && reply.response.status == kGone)
     return peer_cancel_answer::kUnknownJob;
+  if (!reply.ok && reply.failure.cause.code == errc::kTimeout)
+    return peer_cancel_answer::kTimedOut;
   return peer_cancel_answer::kNone;
 }
 
@@ -349,7 +351,9 @@
   if (hosts.empty())
     return next_peer_request_;
   peer_request_in_flight_ = true;
-  const std::string& host = hosts[++peer_index_ % hosts.size()];
+  if (!peer_request_repeated_)
+    ++peer_index_;
+  const std::string& host = hosts[peer_index_ % hosts.size()];
   net::http_request request;
   request.method = "GET";
   request.target = std::string(kConfigurationPath) +
@@ -365,6 +369,13 @@
 void job_entry_control::OnPeerConfiguration(peer_configuration& event,
                                             monotonic_time& now) {
   peer_request_in_flight_ = false;
+  // A connection to the peer that was kept open may have gone silent, in which
+  // case the repetition takes a new one.
+  const bool timed_out =
+      !event.document && event.document.error().code == errc::kTimeout;
+  peer_request_repeated_ = timed_out && !peer_request_repeated_;
+  if (peer_request_repeated_)
+    next_peer_request_ = now;
   if (!event.document) {
     LogEvent("peer_failed", true,
              {{"reason", event.document.error().ToString()}}, now);
@@ -391,25 +402,33 @@
     return AnswerJob(answer, now);
   }
   peer_cancellations_.Start(command.caller, hosts.size());
+  const std::string target = std::string(kCancelPath) +
+                             "?host=" + net::PercentEncode(command.host) +
+                             "&path=" + net::PercentEncode(command.path);
+  for (const std::string& host : hosts)
+    SendPeerCancellation({command.caller, host, target});
+}
+
+void job_entry_control::SendPeerCancellation(const peer_cancellation& call) {
   net::http_request request;
   request.method = "POST";
-  request.target = std::string(kCancelPath) +
-                   "?host=" + net::PercentEncode(command.host) +
-                   "&path=" + net::PercentEncode(command.path);
-  for (const std::string& host : hosts) {
-    dependencies_.peers.Call(
-        {host, dependencies_.internal_port}, request, kPeerTimeout,
-        [&events = dependencies_.events,
-         caller = command.caller](const net::http_reply& reply) {
-          events.PushRequired(
-              peer_cancel_result{caller, ParseCancelReply(reply)});
-        });
-  }
+  request.target = call.target;
+  dependencies_.peers.Call(
+      {call.host, dependencies_.internal_port}, std::move(request),
+      kPeerTimeout,
+      [&events = dependencies_.events, call](const net::http_reply& reply) {
+        events.PushRequired(peer_cancel_result{call, ParseCancelReply(reply)});
+      });
 }
 
 void job_entry_control::OnPeerCancelResult(peer_cancel_result& event,
                                            monotonic_time& now) {
-  const auto outcome = peer_cancellations_.Record(event.caller, event.answer);
+  if (peer_cancellations::ShouldRepeat(event.call, event.answer)) {
+    event.call.repeated = true;
+    return SendPeerCancellation(event.call);
+  }
+  const auto outcome =
+      peer_cancellations_.Record(event.call.caller, event.answer);
   if (!outcome)
     return;
   if (!outcome->cancelled && outcome->unanswered > 0) {
@@ -418,7 +437,7 @@
              now);
   }
   scheduler::answer_job answer{
-      event.caller,
+      event.call.caller,
       outcome->cancelled ? scheduler::job_state::kCancelled
                          : scheduler::job_state::kUnknown,
       outcome->cancelled ? scheduler::job_errc::kCancelled
--- a/src/job_entry/job_entry_control.h
+++ b/src/job_entry/job_entry_control.h
@@ -53,7 +53,7 @@
 };
 // The answer of another entry to a cancellation that was sent on to it.
 struct peer_cancel_result {
-  scheduler::caller_token caller{};
+  peer_cancellation call;
   peer_cancel_answer answer = peer_cancel_answer::kNone;
 };
 
@@ -155,6 +155,7 @@
   void AnswerJob(scheduler::answer_job& command, monotonic_time& now);
   void AnswerBacklog(scheduler::answer_backlog& command, monotonic_time& now);
   void CancelAtPeers(scheduler::cancel_at_peers& command, monotonic_time& now);
+  void SendPeerCancellation(const peer_cancellation& call);
   void CheckCaller(scheduler::check_caller& command, monotonic_time& now);
   void SendToAgent(scheduler::send_to_agent& command, monotonic_time& now);
   void RecordJobMetrics(scheduler::job_metrics& command, monotonic_time& now);
@@ -192,6 +193,7 @@
   bool registration_in_flight_ = false;
   monotonic_time next_registration_{};
   bool peer_request_in_flight_ = false;
+  bool peer_request_repeated_ = false;
   monotonic_time next_peer_request_{};
   std::size_t peer_index_ = 0;
   peer_cancellations peer_cancellations_;
--- a/src/job_entry/peer_cancellations.cc
+++ b/src/job_entry/peer_cancellations.cc
@@ -2,6 +2,11 @@
 
 namespace egretrack::job_entry {
 
+bool peer_cancellations::ShouldRepeat(const peer_cancellation& call,
+                                      peer_cancel_answer answer) {
+  return answer == peer_cancel_answer::kTimedOut && !call.repeated;
+}
+
 void peer_cancellations::Start(scheduler::caller_token caller,
                                std::size_t peers) {
   pending_[caller] = {peers, 0};
@@ -15,8 +20,9 @@
     return std::nullopt;
   pending& waiting = found->second;
   --waiting.peers;
-  waiting.unanswered += answer == peer_cancel_answer::kNone ? 1 : 0;
   const bool cancelled = answer == peer_cancel_answer::kCancelled;
+  const bool answered = cancelled || answer == peer_cancel_answer::kUnknownJob;
+  waiting.unanswered += answered ? 0 : 1;
   if (!cancelled && waiting.peers > 0)
     return std::nullopt;
   const outcome result{cancelled, waiting.unanswered};
--- a/src/job_entry/peer_cancellations.h
+++ b/src/job_entry/peer_cancellations.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <string>
 #include <unordered_map>
 
 #include "egretrack/scheduler/job_scheduler.h"
@@ -14,7 +15,16 @@
 enum class peer_cancel_answer : std::uint8_t {
   kCancelled,
   kUnknownJob,
-  kNone,  // It was not reached, or did not answer in time.
+  kTimedOut,  // It did not answer in time.
+  kNone,      // It was not reached, or refused the call.
+};
+
+// A cancellation that is sent on to one other entry.
+struct peer_cancellation {
+  scheduler::caller_token caller{};
+  std::string host;    // Of the entry.
+  std::string target;  // Path and query of the call.
+  bool repeated = false;
 };
 
 // Cancellations that were sent on to the other entries, until the caller has
@@ -26,6 +36,11 @@
     std::size_t unanswered = 0;  // Entries that may have the job.
   };
 
+  // Whether the call is made once more. A connection that was kept open may
+  // have gone silent, in which case the repetition takes a new one.
+  static bool ShouldRepeat(const peer_cancellation& call,
+                           peer_cancel_answer answer);
+
   void Start(scheduler::caller_token caller, std::size_t peers);
   // Returns the outcome once it is certain: when an entry has cancelled the
   // job, or with the last answer. Later answers are ignored.
--- a/src/job_entry/tests/peer_cancellations_test.cc
+++ b/src/job_entry/tests/peer_cancellations_test.cc
@@ -19,6 +19,22 @@
   EXPECT_EQ(outcome->unanswered, 1U);
 }
 
+// Guards against a cancellation that is lost because the connection to the
+// entry that has the job went silent, and against one that is repeated for
+// good.
+TEST(PeerCancellations, AreRepeatedOnceAfterATimeout) {
+  peer_cancellation call{kCaller, "10.0.0.1", "/v1/jobs/cancel"};
+  EXPECT_TRUE(
+      peer_cancellations::ShouldRepeat(call, peer_cancel_answer::kTimedOut));
+  EXPECT_FALSE(
+      peer_cancellations::ShouldRepeat(call, peer_cancel_answer::kNone));
+  EXPECT_FALSE(
+      peer_cancellations::ShouldRepeat(call, peer_cancel_answer::kUnknownJob));
+  call.repeated = true;
+  EXPECT_FALSE(
+      peer_cancellations::ShouldRepeat(call, peer_cancel_answer::kTimedOut));
+}
+
 // Guards against a caller that waits for entries that are out of reach after
 // the job was cancelled, and against a second answer to it.
 TEST(PeerCancellations, AreCertainWithTheFirstEntryThatCancelled) {
