Notice that a caller has left behind unread input

What callers see: a caller that sends the start of a further request and then leaves is not noticed until the response. Its job runs on while the same job runs for another entry.

Cause: no read is pending while input is left to be read, and a look took unread input for presence.

Change: a look asks the system whether the connection has ended, whatever waits to be read, and a connection with unread input is looked at every 100 ms while its request is served. ReportsDisconnectBehindAPipelinedRequest and ReportsDisconnectBehindLaterInput fail without the change.

--- a/src/net/http_session.cc
+++ b/src/net/http_session.cc
@@ -6,6 +6,8 @@
 #include <string>
 #include <utility>
 
+#include <poll.h>
+
 #include <boost/asio/dispatch.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
@@ -28,6 +30,10 @@
 // response.
 constexpr milliseconds kLingerTimeout{1000};
 
+// Between two looks at a connection with unread input. A caller that has left
+// sends its job to another entry more than a second later.
+constexpr milliseconds kUnreadCheckInterval{100};
+
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
 http_response MakeErrorResponse(unsigned status,
@@ -279,6 +285,8 @@
   // The input is the start of a pipelined request and stays in the buffer. No
   // further read is started until the current response is sent, so that
   // requests are read one at a time.
+  if (!failure && phase_ == phase::kWaiting)
+    WatchUnreadConnection();
 }
 
 void http_session::BeginRequest() {
@@ -403,13 +411,31 @@
 // A process that was suspended reads a request whose caller may have given up
 // long ago and has sent it to another process.
 bool http_session::HasPeerClosed() {
-  if (buffer_.size() > 0)
-    return false;
   char next = 0;
   error_code failure;
   socket_.receive(asio::buffer(&next, 1), socket::message_peek, failure);
-  return failure == asio::error::eof ||
-         failure == asio::error::connection_reset;
+  if (failure)
+    return failure == asio::error::eof ||
+           failure == asio::error::connection_reset;
+  // Input that is left to be read hides the end of the connection behind it.
+  pollfd state{};
+  state.fd = socket_.native_handle();
+  state.events = POLLRDHUP;
+  return ::poll(&state, 1, 0) > 0 &&
+         (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+// While input is left to be read, no read is pending that would end with the
+// connection.
+void http_session::WatchUnreadConnection() {
+  timer_.Start(kUnreadCheckInterval, [self = shared_from_this()] {
+    if (self->phase_ != phase::kWaiting)
+      return;
+    if (!self->HasPeerClosed())
+      return self->WatchUnreadConnection();
+    self->peer_closed_ = true;
+    self->NotifyDisconnect();
+  });
 }
 
 void http_session::InvokeHandler() {
@@ -428,6 +454,8 @@
   const bool peer_closed = HasPeerClosed();
   if (buffer_.size() == 0)
     ReadSome();
+  else
+    WatchUnreadConnection();
   const auto exchange = std::make_shared<session_exchange>(
       shared_from_this(), request_number_, FromBeast(std::move(message)),
       checked_at, peer_closed);
@@ -561,6 +589,8 @@
   message_.reset();
   if (!outgoing_.empty())
     return WriteNext();
+  if (phase_ == phase::kWaiting && buffer_.size() > 0)
+    WatchUnreadConnection();
   if (phase_ == phase::kResponding)
     OnResponseSent();
 }
--- a/src/net/http_session.h
+++ b/src/net/http_session.h
@@ -125,6 +125,7 @@
   // Memory of the request that is being received.
   std::size_t HeldRequestBytes() const;
   bool HasPeerClosed();
+  void WatchUnreadConnection();
   void InvokeHandler();
 
   void SendFinal(http_response response);
--- a/src/net/tests/http_test.cc
+++ b/src/net/tests/http_test.cc
@@ -315,6 +315,37 @@
   EXPECT_FALSE(stays.get());
 }
 
+// Guards against work for a caller that has left behind the start of a further
+// request, which is read only after the response to the first.
+TEST(HttpServer, ReportsDisconnectBehindAPipelinedRequest) {
+  pending_exchanges pending;
+  const auto server = Serve({}, pending.AsHandler());
+  raw_client caller(server->local_address());
+  caller.Send("GET / HTTP/1.1\r\n\r\nGET /next HTTP/1.1\r\n");
+  const auto exchange = pending.Wait();
+  std::promise<void> closed;
+  exchange->OnDisconnect([&] { closed.set_value(); });
+  caller.Close();
+  EXPECT_EQ(closed.get_future().wait_for(kWaitTimeout),
+            std::future_status::ready);
+}
+
+// The same for input that arrives while the request is served.
+TEST(HttpServer, ReportsDisconnectBehindLaterInput) {
+  pending_exchanges pending;
+  const auto server = Serve({}, pending.AsHandler());
+  raw_client caller(server->local_address());
+  caller.Send("GET / HTTP/1.1\r\n\r\n");
+  const auto exchange = pending.Wait();
+  std::promise<void> closed;
+  exchange->OnDisconnect([&] { closed.set_value(); });
+  caller.Send("GET /next HTTP/1.1\r\n");
+  caller.Send("Header: value\r\n");
+  caller.Close();
+  EXPECT_EQ(closed.get_future().wait_for(kWaitTimeout),
+            std::future_status::ready);
+}
+
 // Guards against work that a resumed process begins for a caller whose end of
 // the connection is still unread: a look at the connection finds it first.
 TEST(HttpServer, FindsOnALookThatTheCallerHasLeft) {
