Let the soak silence all connections and have callers leave paused entries

silence_all silences all open connections at once while new ones work, and checks that a configuration published 200 ms later is in force 3 s after the silence. Child processes no longer inherit the connections of the soak's callers, which hid from a paused entry that they had left.

--- a/src/soak/callers.cc
+++ b/src/soak/callers.cc
@@ -21,13 +21,20 @@
 constexpr std::size_t kMaxTasksPerJob = 6;
 constexpr int kMinTaskMs = 20;
 constexpr int kMaxTaskMs = 400;
+// With callers that leave.
+constexpr milliseconds kLongJobDeadline{8000};
+constexpr int kMinLongTaskMs = 800;
+constexpr int kMaxLongTaskMs = 2500;
+constexpr int kMinStayMs = 100;
 
 }  // namespace
 
 caller_pool::caller_pool(deployment& system,
                          std::uint64_t seed,
-                         int thread_count)
+                         int thread_count,
+                         bool callers_leave)
     : system_(system),
+      callers_leave_(callers_leave),
       client_(net::http_client::Create({.connections_per_address = 16})) {
   for (int index = 0; index < thread_count; ++index) {
     threads_.emplace_back([this, seed, index] {
@@ -46,7 +53,7 @@
   std::mt19937_64 random(seed);
   while (!stopping_) {
     ++counts_.jobs;
-    const outcome job_outcome = SubmitJob(random);
+    const outcome job_outcome = SubmitJob(random, callers_leave_);
     counts_.completed += job_outcome == outcome::kCompleted ? 1 : 0;
     counts_.refused += job_outcome == outcome::kRefused ? 1 : 0;
     counts_.given_up += job_outcome == outcome::kGivenUp ? 1 : 0;
@@ -54,7 +61,8 @@
   }
 }
 
-caller_pool::outcome caller_pool::SubmitJob(std::mt19937_64& random) {
+caller_pool::outcome caller_pool::SubmitJob(std::mt19937_64& random,
+                                            bool may_leave) {
   const auto random_size = [&random](std::size_t low, std::size_t high) {
     return std::uniform_int_distribution<std::size_t>(low, high)(random);
   };
@@ -62,14 +70,17 @@
   std::snprintf(key.data(), key.size(), "%016llx",
                 static_cast<unsigned long long>(++last_job_number_));
   const std::size_t tasks = random_size(1, kMaxTasksPerJob);
-  const std::size_t task_ms = random_size(kMinTaskMs, kMaxTaskMs);
+  const std::size_t task_ms = may_leave
+                                  ? random_size(kMinLongTaskMs, kMaxLongTaskMs)
+                                  : random_size(kMinTaskMs, kMaxTaskMs);
+  const milliseconds deadline = may_leave ? kLongJobDeadline : kJobDeadline;
   scheduler::job_step step;
   step.count = static_cast<std::uint32_t>(tasks);
   step.need = {1600, 64, 0};
   step.estimate = milliseconds(task_ms);
   scheduler::job_submission job;
   job.path = "/find/" + std::string(key.data());
-  job.deadline = kJobDeadline;
+  job.deadline = deadline;
   job.spec = R"({"ms":)" + std::to_string(task_ms) + R"(,"cpu":1600})";
   job.steps.push_back(step);
   const net::http_request request = standins::EncodeSubmission(job);
@@ -81,8 +92,12 @@
       std::this_thread::sleep_for(kCallerPause);
       continue;
     }
-    const net::http_reply reply =
-        client_->CallAndWait(*entry, request, kJobDeadline);
+    const milliseconds stay =
+        may_leave ? milliseconds(random_size(
+                        kMinStayMs,
+                        static_cast<std::size_t>(kLongJobDeadline.count())))
+                  : deadline;
+    const net::http_reply reply = client_->CallAndWait(*entry, request, stay);
     const bool retryable = !reply.ok ||
                            reply.response.status == kStatusBadGateway ||
                            reply.response.status == kStatusGatewayTimeout;
@@ -131,7 +146,7 @@
   std::mt19937_64 random(1);
   int completed = 0;
   for (int job = 0; job < jobs; ++job)
-    completed += SubmitJob(random) == outcome::kCompleted ? 1 : 0;
+    completed += SubmitJob(random, false) == outcome::kCompleted ? 1 : 0;
   return completed;
 }
 
--- a/src/soak/callers.h
+++ b/src/soak/callers.h
@@ -26,7 +26,12 @@
 // recorded.
 class caller_pool {
  public:
-  caller_pool(deployment& system, std::uint64_t seed, int thread_count);
+  // With `callers_leave`, jobs take longer than most callers wait: they close
+  // their connections and submit their jobs to another entry.
+  caller_pool(deployment& system,
+              std::uint64_t seed,
+              int thread_count,
+              bool callers_leave);
   ~caller_pool();
   caller_pool(const caller_pool&) = delete;
   caller_pool& operator=(const caller_pool&) = delete;
@@ -40,12 +45,13 @@
   enum class outcome : std::uint8_t { kCompleted, kFailed, kRefused, kGivenUp };
 
   void RunCaller(std::uint64_t seed);
-  outcome SubmitJob(std::mt19937_64& random);
+  outcome SubmitJob(std::mt19937_64& random, bool may_leave);
   outcome CheckAnswer(const std::string& key,
                       const net::http_response& response,
                       std::size_t tasks);
 
   deployment& system_;
+  const bool callers_leave_;
   caller_counts counts_;
   std::atomic<std::uint64_t> last_job_number_{0};
   std::atomic<bool> stopping_{false};
--- a/src/soak/deployment.cc
+++ b/src/soak/deployment.cc
@@ -20,6 +20,7 @@
 constexpr seconds kStartTimeout{10};
 constexpr milliseconds kPollInterval{20};
 constexpr milliseconds kReportTimeout{500};
+constexpr unsigned kStatusOk = 200;
 // The deadlines of successive configuration versions cycle through
 // kDeadlineCount values, so that each version differs from the one before.
 constexpr milliseconds kMinDeadline{1400};
@@ -59,6 +60,7 @@
       workers_(static_cast<std::size_t>(options_.agent_count)),
       client_(net::http_client::Create({})),
       report_ports_(static_cast<std::size_t>(options_.agent_count)),
+      internal_ports_(static_cast<std::size_t>(options_.entry_count)),
       jobs_ports_(static_cast<std::size_t>(options_.entry_count)) {}
 
 // Ends the processes before the relays and stand-ins that they use.
@@ -250,6 +252,30 @@
               standins::EncodeConfiguration(config_version_, deadline));
 }
 
+void deployment::SilenceConnections() {
+  store_relay_->BlackholeConnections();
+  for (auto* group : {&entries_, &agents_}) {
+    for (daemon& target : *group)
+      target.fault_relay->BlackholeConnections();
+  }
+}
+
+void deployment::CheckConfigurations() {
+  net::http_request request;
+  request.method = "GET";
+  request.target =
+      "/v1/configuration?newer_than=" + std::to_string(config_version_ - 1);
+  for (std::size_t index = 0; index < entries_.size(); ++index) {
+    const net::http_reply reply = client_->CallAndWait(
+        {"127.0.0.1", internal_ports_[index]}, request, kReportTimeout);
+    if (!reply.ok || reply.response.status != kStatusOk) {
+      history_.AddViolation(entries_[index].name + " has no version " +
+                            std::to_string(config_version_) +
+                            " of the configuration");
+    }
+  }
+}
+
 void deployment::Evacuate(int domain) {
   if (!evacuated_domains_.insert(domain).second)
     return;
@@ -332,6 +358,7 @@
   for (std::size_t index = 0; index < entries_.size(); ++index) {
     const std::uint16_t agents = ReadPort(entries_[index].ports_path, "agents");
     const std::uint16_t jobs = ReadPort(entries_[index].ports_path, "jobs");
+    internal_ports_[index] = ReadPort(entries_[index].ports_path, "internal");
     if (agents != 0)
       entries_[index].fault_relay->SetTarget(agents);
     const std::lock_guard lock(mutex_);
--- a/src/soak/deployment.h
+++ b/src/soak/deployment.h
@@ -32,6 +32,9 @@
   // A run that begins in an evacuated domain after the bound is a violation.
   // For runs without faults that cut agents off or delay calls to workers.
   bool check_evacuations = false;
+  // An entry without the last configuration after the bound is a violation. For
+  // runs without faults that stop processes or disturb the store.
+  bool check_configurations = false;
   // Lines of TOML that are added to the settings of each entry and agent.
   std::string entry_settings;
   std::string agent_settings;
@@ -81,6 +84,12 @@
   void SendOddReport(int number, bool worker_id);
   // Publishes a new configuration version with another deadline.
   void PublishConfiguration();
+  // All open connections to the store, between processes and to workers go
+  // silent for good; new ones work.
+  void SilenceConnections();
+  // Records a violation for each entry that does not have the last
+  // configuration.
+  void CheckConfigurations();
   // Writes or removes the row that evacuates a failure domain.
   void Evacuate(int domain);
   void EndEvacuation(int domain);
@@ -100,6 +109,7 @@
     return workers_[static_cast<std::size_t>(number)].get();
   }
   standins::run_history& history() { return history_; }
+  const deployment_options& options() const { return options_; }
 
  private:
   explicit deployment(deployment_options options);
@@ -118,7 +128,8 @@
   std::vector<daemon> agents_;
   std::vector<std::unique_ptr<standins::lease_worker>> workers_;
   std::unique_ptr<net::http_client> client_;
-  std::vector<std::uint16_t> report_ports_;  // By agent; 0 if not known.
+  std::vector<std::uint16_t> report_ports_;    // By agent; 0 if not known.
+  std::vector<std::uint16_t> internal_ports_;  // By entry; 0 if not known.
   mutable std::mutex mutex_;
   std::vector<std::uint16_t> jobs_ports_;  // By entry; guarded by mutex_.
   std::uint64_t config_version_ = 0;
--- a/src/soak/faults.cc
+++ b/src/soak/faults.cc
@@ -11,10 +11,13 @@
 constexpr int kMinFaultIntervalMs = 50;
 constexpr int kMaxFaultIntervalMs = 900;
 constexpr milliseconds kMaxAnswerDelay{90};
+constexpr milliseconds kPublicationDelay{200};
+// From a silence of all connections until the last configuration is in force.
+constexpr milliseconds kConfigurationBound{3000};
 
 }  // namespace
 
-const std::array<fault_injector::fault_kind, 28> fault_injector::kFaultKinds{{
+const std::array<fault_injector::fault_kind, 29> fault_injector::kFaultKinds{{
     fault_kind{"kill_entry", &fault_injector::KillEntry},
     fault_kind{"kill_agent", &fault_injector::KillAgent},
     fault_kind{"restart_entry", &fault_injector::RestartEntry},
@@ -43,6 +46,7 @@
     fault_kind{"stall_worker", &fault_injector::StallWorker},
     fault_kind{"slow_worker_calls", &fault_injector::SlowWorkerCalls},
     fault_kind{"evacuate", &fault_injector::EvacuateDomain},
+    fault_kind{"silence_all", &fault_injector::SilenceAll},
 }};
 
 fault_injector::fault_injector(deployment& system,
@@ -172,6 +176,19 @@
     entry->fault_relay->BlackholeConnections();
 }
 
+// A configuration that is published right after the silence is in force when
+// the connections count as calm again.
+void fault_injector::SilenceAll(monotonic_time now) {
+  system_.SilenceConnections();
+  if (!system_.options().check_configurations)
+    return;
+  ScheduleAt(now + kPublicationDelay,
+             [this] { system_.PublishConfiguration(); });
+  ScheduleAt(now + kConfigurationBound,
+             [this] { system_.CheckConfigurations(); });
+  next_fault_at_ = now + kConfigurationBound + RandomDuration(100, 2000);
+}
+
 void fault_injector::BlockEntry(monotonic_time now) {
   daemon* entry = PickRunning(system_.entries());
   if (entry == nullptr)
--- a/src/soak/faults.h
+++ b/src/soak/faults.h
@@ -36,7 +36,7 @@
     const char* name;
     inject_function inject;
   };
-  static const std::array<fault_kind, 28> kFaultKinds;
+  static const std::array<fault_kind, 29> kFaultKinds;
 
   void KillEntry(monotonic_time now);
   void RestartEntry(monotonic_time now);
@@ -48,6 +48,7 @@
   void KillAll(monotonic_time now);
   void CutEntry(monotonic_time now);
   void SilenceEntry(monotonic_time now);
+  void SilenceAll(monotonic_time now);
   void BlockEntry(monotonic_time now);
   void DelayEntry(monotonic_time now);
   void DelayWorker(monotonic_time now);
--- a/src/soak/job_soak.cc
+++ b/src/soak/job_soak.cc
@@ -32,6 +32,7 @@
 struct soak_options {
   deployment_options system;
   int caller_count = 8;
+  bool callers_leave = false;
   int duration_s = 20;
   std::vector<std::string> faults;
 };
@@ -80,7 +81,8 @@
   deployment& system = **created;
   std::string fault_sequence;
   {
-    caller_pool callers(system, options.system.seed, options.caller_count);
+    caller_pool callers(system, options.system.seed, options.caller_count,
+                        options.callers_leave);
     fault_injector injector(system, options.system.seed, options.faults);
     AdvanceFor(system, &injector, seconds(options.duration_s));
     system.EndFaults(monotonic_clock::now());
@@ -142,6 +144,10 @@
                "Workers keep their id when they restart");
   app.add_flag("--check-evacuations", options.system.check_evacuations,
                "Check that nothing starts in an evacuated domain");
+  app.add_flag("--check-configurations", options.system.check_configurations,
+               "Check that entries follow the configuration after silences");
+  app.add_flag("--callers-leave", options.callers_leave,
+               "Callers leave before the end of long jobs, and return");
   app.add_option("--callers", options.caller_count,
                  "Number of concurrent callers")
       ->check(CLI::Range(0, 200));
--- a/src/standins/child_process.cc
+++ b/src/standins/child_process.cc
@@ -36,6 +36,9 @@
     _exit(kExecFailedExitCode);
   dup2(output, STDOUT_FILENO);
   dup2(errors, STDERR_FILENO);
+  // A connection that the child inherited would stay open when the parent
+  // closes it.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   execv(arguments[0], arguments);
   _exit(kExecFailedExitCode);
 }
