Keep connections to a server that misses one short time limit

Cause: every call to a worker that missed its limit of 20 to 90 ms closed the idle connections to it.

Change: one wait of less than 250 ms after a response was due counts only if the call before, on any connection to the address, was unanswered too. A call whose connection was presumed dead before it began takes a new one.

--- a/src/include/egretrack/net/http.h
+++ b/src/include/egretrack/net/http.h
@@ -185,11 +185,10 @@
 
   // Calls `done` once, on a traffic thread. If a pooled connection turns out to
   // be closed, the request is sent again on a new connection only if no byte of
-  // it had been written; otherwise the call fails with kSent. When a call gets
-  // no byte of a response in time, the connections to its address on which
-  // nothing was received since the response was due are presumed dead and are
-  // not used again: all open connections may go silent at once while new ones
-  // work.
+  // it had been written; otherwise the call fails with kSent. When calls get no
+  // byte of a response in time, the connections to their address on which
+  // nothing was received since may be presumed dead and are not used again: all
+  // open connections may go silent at once while new ones work.
   virtual void Call(const tcp_address& address,
                     http_request request,
                     call_limits limits,
--- a/src/net/connection_liveness.h
+++ b/src/net/connection_liveness.h
@@ -1,6 +1,8 @@
 #ifndef EGRETRACK_NET_CONNECTION_LIVENESS_H_
 #define EGRETRACK_NET_CONNECTION_LIVENESS_H_
 
+#include <cstdint>
+
 #include "egretrack/base/time.h"
 
 namespace egretrack::net {
@@ -11,8 +13,10 @@
 class connection_liveness {
  public:
   // A call whose response was due at `due_at`, at the latest if the server held
-  // it back, received nothing within its time limit.
-  void RecordSilence(monotonic_time due_at);
+  // it back, received nothing within its time limit, which ended at `now`.
+  void RecordSilence(monotonic_time due_at, monotonic_time now);
+  // Something was received from the server on any connection.
+  void RecordLife();
 
   // Whether a connection on which something was received last at `received_at`,
   // such as the answer to its opening, may carry calls.
@@ -20,6 +24,7 @@
 
  private:
   monotonic_time silent_since_ = monotonic_time::min();
+  std::uint32_t unanswered_calls_ = 0;  // Since anything was received.
 };
 
 }  // namespace egretrack::net
--- a/src/net/connection_pool.cc
+++ b/src/net/connection_pool.cc
@@ -52,12 +52,17 @@
                                     monotonic_time due_at) {
   const std::lock_guard lock(mutex_);
   server_connections& server = servers_[address];
-  server.liveness.RecordSilence(due_at);
+  server.liveness.RecordSilence(due_at, monotonic_clock::now());
   std::erase_if(server.idle, [&server](const idle_connection& each) {
     return !server.liveness.IsAlive(each.received_at);
   });
 }
 
+void connection_pool::RecordLife(const std::string& address) {
+  const std::lock_guard lock(mutex_);
+  servers_[address].liveness.RecordLife();
+}
+
 bool connection_pool::IsAlive(const std::string& address,
                               monotonic_time received_at) const {
   const std::lock_guard lock(mutex_);
--- a/src/net/connection_pool.h
+++ b/src/net/connection_pool.h
@@ -38,6 +38,7 @@
   // See connection_liveness. Idle connections that are presumed dead since are
   // closed.
   void RecordSilence(const std::string& address, monotonic_time due_at);
+  void RecordLife(const std::string& address);
   bool IsAlive(const std::string& address, monotonic_time received_at) const;
 
  private:
--- a/src/net/http_call.cc
+++ b/src/net/http_call.cc
@@ -119,8 +119,12 @@
                       [self = shared_from_this()] { self->OnTimeout(); });
   }
   sent_at_ = monotonic_clock::now();
-  if (reused_)
+  if (reused_ && client_->pool.IsAlive(address_text_, received_at_))
     return WriteSome();
+  // The connection may have been presumed dead since it was taken.
+  if (reused_)
+    socket_ = socket(socket_.get_executor());
+  reused_ = false;
   Connect();
 }
 
@@ -211,6 +215,7 @@
   if (failure)
     return Fail(ToErrc(failure), "receive: " + failure.message());
   response_began_ = true;
+  client_->pool.RecordLife(address_text_);
   if (parser_->get().result_int() < kFirstFinalStatus)
     return ReadHeader();
   // Without a length or chunked encoding, a complete body can't be told from a
