Name the steps that replace a connection and note a closed peer once

The start of a call and a failed first write open a new connection in the same way, and three places note that the peer has closed its side. The time that a call counts from is its beginning, also where a connection is opened first. No behaviour changes.

--- a/src/net/http_call.cc
+++ b/src/net/http_call.cc
@@ -118,13 +118,18 @@
     call_timer_.Start(limits_.timeout,
                       [self = shared_from_this()] { self->OnTimeout(); });
   }
-  sent_at_ = monotonic_clock::now();
-  if (reused_ && client_->pool.IsAlive(address_text_, received_at_))
-    return WriteSome();
+  began_at_ = monotonic_clock::now();
+  if (!reused_)
+    return Connect();
   // The connection may have been presumed dead since it was taken.
-  if (reused_)
-    socket_ = socket(socket_.get_executor());
+  if (!client_->pool.IsAlive(address_text_, received_at_))
+    return ReplaceConnection();
+  WriteSome();
+}
+
+void http_call::ReplaceConnection() {
   reused_ = false;
+  socket_ = socket(socket_.get_executor());
   Connect();
 }
 
@@ -138,7 +143,7 @@
 
 void http_call::OnTimeout() {
   if (IsUnanswered())
-    client_->RecordSilence(address_text_, sent_at_ + limits_.hold);
+    client_->RecordSilence(address_text_, began_at_ + limits_.hold);
   Fail(errc::kTimeout, "no response in time");
 }
 
@@ -186,11 +191,8 @@
   bytes_written_ += size;
   if (bytes_written_ == 0)
     stage_ = call_stage::kNotSent;
-  if (failure && reused_ && bytes_written_ == 0) {
-    reused_ = false;
-    socket_ = socket(socket_.get_executor());
-    return Connect();
-  }
+  if (failure && reused_ && bytes_written_ == 0)
+    return ReplaceConnection();
   if (failure)
     return Fail(errc::kUnavailable, "send: " + failure.message());
   if (!serializer_.is_done())
--- a/src/net/http_call.h
+++ b/src/net/http_call.h
@@ -77,6 +77,7 @@
   // Whether nothing was received on the connection since the request was sent.
   bool IsUnanswered() const;
   void Begin();
+  void ReplaceConnection();
   void Connect();
   void OnConnected(const error_code& failure);
   void WriteSome();
@@ -96,7 +97,7 @@
 
   bool reused_ = false;           // The connection was taken from the pool.
   monotonic_time received_at_{};  // Last, on the connection.
-  monotonic_time sent_at_{};
+  monotonic_time began_at_{};
   bool response_began_ = false;
   socket socket_;
   timeout_timer call_timer_;
--- a/src/net/http_session.cc
+++ b/src/net/http_session.cc
@@ -276,12 +276,8 @@
 }
 
 void http_session::OnInputWhileWaiting(const error_code& failure) {
-  if (failure) {
-    // The peer may have closed only its sending side, so the response is still
-    // sent.
-    peer_closed_ = true;
-    NotifyDisconnect();
-  }
+  if (failure)
+    OnPeerClosed();
   // The input is the start of a pipelined request and stays in the buffer. No
   // further read is started until the current response is sent, so that
   // requests are read one at a time.
@@ -433,8 +429,7 @@
       return;
     if (!self->HasPeerClosed())
       return self->WatchUnreadConnection();
-    self->peer_closed_ = true;
-    self->NotifyDisconnect();
+    self->OnPeerClosed();
   });
 }
 
@@ -530,8 +525,7 @@
         const monotonic_time checked_at = monotonic_clock::now();
         if (!self.peer_closed_ && !self.HasPeerClosed())
           return open(checked_at);
-        self.peer_closed_ = true;
-        self.NotifyDisconnect();
+        self.OnPeerClosed();
       });
 }
 
@@ -635,6 +629,13 @@
     server_->limits.guard->Close(*std::exchange(guard_number_, std::nullopt));
 }
 
+// The peer may have closed only its sending side, so the response is still
+// sent.
+void http_session::OnPeerClosed() {
+  peer_closed_ = true;
+  NotifyDisconnect();
+}
+
 void http_session::NotifyDisconnect() {
   const auto callback = std::exchange(on_disconnect_, nullptr);
   if (callback)
--- a/src/net/http_session.h
+++ b/src/net/http_session.h
@@ -140,6 +140,7 @@
 
   void Linger();
   void Close();
+  void OnPeerClosed();
   void NotifyDisconnect();
   void EndRequest();
   void EndServing();
