Share the set-up of tests that had the same lines

Three tests of a disconnect differ in what the caller sends; two of late dispatches build the driver's dispatch; entries and agents of the model read what waits after a pause in the same way. Assertions are as they were. The late dispatch of RunSupervisor.RefusesDispatchAfterStartLimit takes the driver's job and key in place of others.

--- a/src/net/tests/http_test.cc
+++ b/src/net/tests/http_test.cc
@@ -1,10 +1,13 @@
 #include "egretrack/net/http.h"
 
+#include <array>
 #include <atomic>
 #include <functional>
 #include <future>
 #include <mutex>
 #include <ostream>
+#include <span>
+#include <string_view>
 #include <thread>
 
 #include <gtest/gtest.h>
@@ -268,20 +271,29 @@
   EXPECT_TRUE(WaitUntil([&] { return server->idle(); }));
 }
 
-// Guards against continued work for callers that have disconnected.
-TEST(HttpServer, ReportsCallerDisconnect) {
+// Sends a request, which the server does not answer, and further input, then
+// closes the connection.
+void ExpectDisconnectReported(std::string_view request,
+                              std::span<const std::string_view> further) {
   pending_exchanges pending;
   const auto server = Serve({}, pending.AsHandler());
   raw_client caller(server->local_address());
-  caller.Send("GET / HTTP/1.1\r\n\r\n");
+  caller.Send(request);
   const auto exchange = pending.Wait();
   std::promise<void> closed;
   exchange->OnDisconnect([&] { closed.set_value(); });
+  for (const std::string_view input : further)
+    caller.Send(input);
   caller.Close();
   EXPECT_EQ(closed.get_future().wait_for(kWaitTimeout),
             std::future_status::ready);
 }
 
+// Guards against continued work for callers that have disconnected.
+TEST(HttpServer, ReportsCallerDisconnect) {
+  ExpectDisconnectReported("GET / HTTP/1.1\r\n\r\n", {});
+}
+
 // Guards against a process that runs a request which it reads only after its
 // caller has given up, as when the process was suspended in between.
 TEST(HttpServer, TellsWhetherTheCallerHadLeftBeforeTheRequestWasRead) {
@@ -318,32 +330,14 @@
 // Guards against work for a caller that has left behind the start of a further
 // request, which is read only after the response to the first.
 TEST(HttpServer, ReportsDisconnectBehindAPipelinedRequest) {
-  pending_exchanges pending;
-  const auto server = Serve({}, pending.AsHandler());
-  raw_client caller(server->local_address());
-  caller.Send("GET / HTTP/1.1\r\n\r\nGET /next HTTP/1.1\r\n");
-  const auto exchange = pending.Wait();
-  std::promise<void> closed;
-  exchange->OnDisconnect([&] { closed.set_value(); });
-  caller.Close();
-  EXPECT_EQ(closed.get_future().wait_for(kWaitTimeout),
-            std::future_status::ready);
+  ExpectDisconnectReported("GET / HTTP/1.1\r\n\r\nGET /next HTTP/1.1\r\n", {});
 }
 
 // The same for input that arrives while the request is served.
 TEST(HttpServer, ReportsDisconnectBehindLaterInput) {
-  pending_exchanges pending;
-  const auto server = Serve({}, pending.AsHandler());
-  raw_client caller(server->local_address());
-  caller.Send("GET / HTTP/1.1\r\n\r\n");
-  const auto exchange = pending.Wait();
-  std::promise<void> closed;
-  exchange->OnDisconnect([&] { closed.set_value(); });
-  caller.Send("GET /next HTTP/1.1\r\n");
-  caller.Send("Header: value\r\n");
-  caller.Close();
-  EXPECT_EQ(closed.get_future().wait_for(kWaitTimeout),
-            std::future_status::ready);
+  constexpr std::array<std::string_view, 2> kFurther{"GET /next HTTP/1.1\r\n",
+                                                     "Header: value\r\n"};
+  ExpectDisconnectReported("GET / HTTP/1.1\r\n\r\n", kFurther);
 }
 
 // Guards against work that a resumed process begins for a caller whose end of
--- a/src/scheduler/tests/run_supervisor_test.cc
+++ b/src/scheduler/tests/run_supervisor_test.cc
@@ -855,11 +855,7 @@
 // whose job has already been answered.
 TEST_F(RunSupervisor, RefusesDispatchAfterStartLimit) {
   auto frame = driver_.MakeFrame(0);
-  wire::run_dispatch dispatch;
-  dispatch.job = 9;
-  dispatch.attempt = 1;
-  dispatch.job_key = "late";
-  dispatch.need = {1600, 64, 0};
+  wire::run_dispatch dispatch = driver_.MakeDispatch(0);
   dispatch.start_by = driver_.EntryNow() + milliseconds(50);
   dispatch.queue_bound = seconds(1);
   frame.messages.emplace_back(dispatch);
--- a/src/scheduler/tests/standstill_test.cc
+++ b/src/scheduler/tests/standstill_test.cc
@@ -143,15 +143,8 @@
 // leaves when it is resumed.
 TEST_F(AgentStandstill, StartsNoDispatchThatWasMadeLongAgo) {
   auto frame = driver_.MakeFrame(0);
-  wire::run_dispatch dispatch;
-  dispatch.job = 1;
-  dispatch.attempt = 1;
-  dispatch.job_key = "j";
-  dispatch.need = {1600, 64, 0};
-  dispatch.predicted = milliseconds(100);
+  wire::run_dispatch dispatch = driver_.MakeDispatch(0);
   dispatch.start_by = driver_.EntryNow() + seconds(8);
-  dispatch.target = milliseconds(300);
-  dispatch.queue_bound = milliseconds(400);
   frame.messages.emplace_back(dispatch);
   driver_.AdvanceWithAnswers(milliseconds(500), {});
   driver_.now += kStandstill;
--- a/src/scheduler/tests/supervisor_driver.h
+++ b/src/scheduler/tests/supervisor_driver.h
@@ -148,23 +148,30 @@
     }
   }
 
-  void Dispatch(std::uint32_t task,
-                milliseconds predicted = milliseconds(100),
-                entry_index entry = 0,
-                const std::string& job_key = "j") {
+  wire::run_dispatch MakeDispatch(std::uint32_t task) const {
     wire::run_dispatch dispatch;
     dispatch.job = 1;
     dispatch.task = task;
     dispatch.attempt = 1;
-    dispatch.job_key = job_key;
+    dispatch.job_key = "j";
     dispatch.index = task;
     dispatch.need = {1600, 64, 0};
     dispatch.spec = "spec";
-    dispatch.predicted = predicted;
+    dispatch.predicted = milliseconds(100);
     dispatch.start_by = EntryNow() + seconds(1);
     dispatch.target = milliseconds(300);
     dispatch.virtual_deadline = dispatch.target;
     dispatch.queue_bound = milliseconds(400);
+    return dispatch;
+  }
+
+  void Dispatch(std::uint32_t task,
+                milliseconds predicted = milliseconds(100),
+                entry_index entry = 0,
+                const std::string& job_key = "j") {
+    wire::run_dispatch dispatch = MakeDispatch(task);
+    dispatch.job_key = job_key;
+    dispatch.predicted = predicted;
     auto frame = MakeFrame(entry);
     frame.messages.emplace_back(dispatch);
     Handle(entry_frame{entry, frame});
--- a/src/scheduler/tests/system_model.cc
+++ b/src/scheduler/tests/system_model.cc
@@ -267,45 +267,41 @@
 
 // What arrives in a pause is read in the order of its source, and the timers of
 // the process may be first.
-monotonic_time system_model::ReadTime(monotonic_time paused_until,
-                                      monotonic_time& last_of_source) {
-  if (now_ < paused_until) {
+template <typename Process>
+void system_model::ReadInOrder(const Process& reader,
+                               monotonic_time& last_of_source,
+                               std::function<void()> read) {
+  if (now_ < reader.paused_until) {
     last_of_source =
-        std::max(last_of_source,
-                 paused_until + RandomTime(milliseconds(0), kSlowestNews));
+        std::max(last_of_source, reader.paused_until +
+                                     RandomTime(milliseconds(0), kSlowestNews));
   }
   last_of_source = std::max(last_of_source, now_);
-  return last_of_source;
+  if (last_of_source == now_)
+    return read();
+  events_.emplace(last_of_source,
+                  [&reader, process = reader.process, read = std::move(read)] {
+                    if (reader.process == process)
+                      read();
+                  });
 }
 
 void system_model::ReceiveAtEntry(std::size_t index, scheduler_event event) {
   entry& target = *entries_[index];
   const auto* frame = std::get_if<agent_frame>(&event);
   const std::string source = frame != nullptr ? frame->frame.agent : "";
-  const monotonic_time at =
-      ReadTime(target.paused_until, target.unread[source]);
-  if (at == now_)
-    return HandleEntry(index, std::move(event));
-  events_.emplace(
-      at, [this, index, process = target.process, event = std::move(event)] {
-        if (entries_[index]->process == process)
-          HandleEntry(index, event);
-      });
+  ReadInOrder(
+      target, target.unread[source],
+      [this, index, event = std::move(event)] { HandleEntry(index, event); });
 }
 
 void system_model::ReceiveAtAgent(std::size_t index, supervisor_event event) {
   agent& target = *agents_[index];
   const auto* frame = std::get_if<entry_frame>(&event);
   const std::string source = frame != nullptr ? frame->frame.entry : "";
-  const monotonic_time at =
-      ReadTime(target.paused_until, target.unread[source]);
-  if (at == now_)
-    return HandleAgent(index, std::move(event));
-  events_.emplace(
-      at, [this, index, process = target.process, event = std::move(event)] {
-        if (agents_[index]->process == process)
-          HandleAgent(index, event);
-      });
+  ReadInOrder(
+      target, target.unread[source],
+      [this, index, event = std::move(event)] { HandleAgent(index, event); });
 }
 
 void system_model::HandleEntry(std::size_t index,
--- a/src/scheduler/tests/system_model.h
+++ b/src/scheduler/tests/system_model.h
@@ -70,8 +70,10 @@
   void StartEntry(std::size_t index);
   void StartAgent(std::size_t index);
   void StartWorker(std::size_t index, bool new_id, milliseconds birth_offset);
-  monotonic_time ReadTime(monotonic_time paused_until,
-                          monotonic_time& last_of_source);
+  template <typename Process>
+  void ReadInOrder(const Process& reader,
+                   monotonic_time& last_of_source,
+                   std::function<void()> read);
   void ReceiveAtEntry(std::size_t index, scheduler_event event);
   void ReceiveAtAgent(std::size_t index, supervisor_event event);
   void HandleEntry(std::size_t index, std::optional<scheduler_event> event);
