review: case 11, a job whose task has begun is refused

Callers see a 503, which says that the job never runs, although a worker has begun its task: the worker crashed before it answered the start and was back under its id 0.7 s later.

At fault: run_supervisor_impl::EndProvenRun(), which takes a proof about the worker's new incarnation for one that the run has never started.

--- /dev/null
+++ b/review/third/run.sh
@@ -0,0 +1,19 @@
+#!/usr/bin/env bash
+# Runs one case. Usage: run.sh FOLDER NAME; FOLDER is that of the case.
+set -uo pipefail
+folder=$(cd "$1" && pwd)
+cd "$(dirname "$0")/../.."
+driver=build-review-3/review_case
+if [ ! -x "$driver" ] || [ ! -x target/bin/egretrackd ]; then
+  echo "the case cannot run: build the deploy file and review/build-3.sh first" > "$folder/record.txt"
+  exit 2
+fi
+temporary=$(mktemp -d)
+trap 'rm -rf "$temporary"' EXIT
+timeout --kill-after=5 115 "$driver" "$2" "$folder/record.txt" "$temporary"
+code=$?
+if [ -n "${KEEP_LOGS:-}" ]; then
+  cp "$temporary"/*.log "$KEEP_LOGS"
+fi
+[ "$code" -le 2 ] || code=2
+exit "$code"
