--- a/review/third/cases.h
+++ b/review/third/cases.h
@@ -9,13 +9,13 @@
 
 // The cases play a small deployment. Without `disrupted` they do the same
 // without the disruption.
+verdict HeldRequest(deployment& system, record& log, bool disrupted);
 verdict FalseRefusal(deployment& system, record& log, bool disrupted);
 verdict CopyAfterCancel(deployment& system, record& log, bool disrupted);
 verdict CancelDuringCut(deployment& system, record& log, bool disrupted);
 verdict CancelAfterRouteRemoved(deployment& system,
                                 record& log,
                                 bool disrupted);
-verdict StartWithoutLabel(deployment& system, record& log, bool disrupted);
 
 }  // namespace review
 
--- a/review/third/http.cc
+++ b/review/third/http.cc
@@ -17,6 +17,10 @@
 
 constexpr int kBacklog = 128;
 constexpr milliseconds kPollInterval{20};
+// Of TCP on a link of a few milliseconds; the timeout doubles each time.
+constexpr milliseconds kFirstRetransmission{200};
+// Callers of turni-gas are 3 ms away.
+constexpr milliseconds kRoundTrip{6};
 
 sockaddr_in ToSocketAddress(const address& from) {
   sockaddr_in to{};
@@ -330,23 +334,39 @@
   --running_;
 }
 
+bool relay::AwaitInput(int from) {
+  pollfd state{from, POLLIN, 0};
+  while (!stopped_ &&
+         ::poll(&state, 1, static_cast<int>(kPollInterval.count())) <= 0) {
+  }
+  if (!cut_)
+    return false;
+  milliseconds timeout = kFirstRetransmission;
+  auto next = steady::now() + timeout;
+  while (!stopped_) {
+    std::this_thread::sleep_until(
+        std::min(next, steady::now() + kPollInterval));
+    if (steady::now() < next)
+      continue;
+    if (!cut_)
+      return true;
+    timeout *= 2;
+    next += timeout;
+  }
+  return true;
+}
+
 void relay::Forward(int from, int to) {
   char bytes[65536];
   while (!stopped_) {
-    pollfd state{from, POLLIN, 0};
-    if (cut_) {
-      std::this_thread::sleep_for(milliseconds(5));
-      continue;
-    }
-    if (::poll(&state, 1, static_cast<int>(kPollInterval.count())) <= 0)
-      continue;
+    const bool held = AwaitInput(from);
     const auto size = ::recv(from, bytes, sizeof bytes, 0);
-    while (cut_ && !stopped_)
-      std::this_thread::sleep_for(milliseconds(5));
     if (size <= 0 ||
         !SendAll(to, std::string(bytes, static_cast<std::size_t>(size)))) {
       break;
     }
+    if (held)
+      std::this_thread::sleep_for(kRoundTrip);
   }
   ::shutdown(to, SHUT_WR);
   if (stopped_)
--- a/review/third/http.h
+++ b/review/third/http.h
@@ -84,10 +84,11 @@
   std::thread accepting_;
 };
 
-// Forwards connections to another address. While it is cut, nothing passes:
-// bytes of established connections are held and passed on afterwards, as with
-// TCP's retransmission; a connection attempt that its client gives up before
-// the end of the cut never reaches the target.
+// Forwards connections to another address. While it is cut, nothing passes.
+// Bytes of established connections are passed on at the first retransmission by
+// TCP after the cut, and the end of the connection behind them a round trip
+// later. A connection attempt that its client gives up before the end of the
+// cut never reaches the target.
 class relay {
  public:
   relay(const address& at, address to);
@@ -101,6 +102,8 @@
   void Accept();
   void Open(int client);
   void Forward(int from, int to);
+  // Waits for input and returns whether it was held up by a cut.
+  bool AwaitInput(int from);
 
   const address to_;
   int listener_;
--- a/review/third/worker_standin.cc
+++ b/review/third/worker_standin.cc
@@ -52,11 +52,29 @@
   return found;
 }
 
-std::vector<task_start> start_list::On(const std::string& worker) const {
+void start_list::RecordEnd(const std::string& task,
+                           std::int64_t run,
+                           const std::string& worker) {
+  const std::lock_guard lock(mutex_);
+  for (task_start& each : starts_) {
+    const bool ends = each.task == task && each.run == run &&
+                      each.worker == worker &&
+                      each.ended_at == steady::time_point::max();
+    if (ends)
+      each.ended_at = steady::now();
+  }
+}
+
+std::vector<task_start> start_list::Doubled() const {
   const std::lock_guard lock(mutex_);
   std::vector<task_start> found;
   for (const task_start& each : starts_) {
-    if (each.worker == worker)
+    const bool doubled =
+        std::ranges::any_of(starts_, [&each](const task_start& other) {
+          return other.task == each.task && other.worker != each.worker &&
+                 other.at < each.at && each.at < other.ended_at;
+        });
+    if (doubled)
       found.push_back(each);
   }
   return found;
@@ -69,8 +87,8 @@
       log_(log),
       starts_(starts),
       born_(UnixMilliseconds()) {
-  log_.Write("worker " + options_.id + " of kind " + options_.label +
-             " begins, born " + std::to_string(born_));
+  log_.Write("worker " + options_.id + " begins, born " +
+             std::to_string(born_));
   server_ = std::make_unique<http_server>(
       options_.at, [this](const request& asked) { return Handle(asked); });
   working_ = std::thread([this] { Work(); });
@@ -150,7 +168,7 @@
     return Answer(409, "old");
   }
   runs_.push_back({task, number, steady::now(), {}, false});
-  starts_.Add({task, options_.id, steady::now()});
+  starts_.Add({task, number, options_.id, steady::now()});
   log_.Write("task " + task + " run " + std::to_string(number) + " begins on " +
              options_.id);
   if (crash_at_start_) {
@@ -222,6 +240,7 @@
   const run ended = runs_[index];
   runs_.erase(runs_.begin() + static_cast<std::ptrdiff_t>(index));
   highest_run_[ended.task] = std::max(highest_run_[ended.task], ended.number);
+  starts_.RecordEnd(ended.task, ended.number, options_.id);
   ended_.push_back(json::array{++last_end_, ended.task, ended.number, how, ""});
   log_.Write("task " + ended.task + " run " + std::to_string(ended.number) +
              " ends " + how + " on " + options_.id);
@@ -252,7 +271,7 @@
         {"cold_remaining_ms", 0},
         {"capacity",
          {{"cpu", options_.cpu}, {"mem_mb", options_.mem_mb}, {"gpu", 0}}},
-        {"labels", json::array{options_.label}},
+        {"labels", json::array{"a"}},
         {"clock_ms", Clock()},
         {"born", born_},
         {"seq", ++sequence}};
--- a/review/third/worker_standin.h
+++ b/review/third/worker_standin.h
@@ -19,21 +19,27 @@
 
 namespace review {
 
-// A task that a worker has begun.
+// A run of a task that a worker has begun.
 struct task_start {
   std::string task;
+  std::int64_t run = 0;
   std::string worker;
   steady::time_point at;
+  steady::time_point ended_at = steady::time_point::max();
 };
 
 // All starts of a case, in order.
 class start_list {
  public:
   void Add(task_start start);
+  void RecordEnd(const std::string& task,
+                 std::int64_t run,
+                 const std::string& worker);
   // Starts of tasks of the job, later than `after`.
   std::vector<task_start> Of(const std::string& job,
                              steady::time_point after = {}) const;
-  std::vector<task_start> On(const std::string& worker) const;
+  // Starts of tasks of which another run was at work on another worker.
+  std::vector<task_start> Doubled() const;
 
  private:
   mutable std::mutex mutex_;
@@ -44,7 +50,6 @@
   std::string id;
   std::string service;
   std::string zone;
-  std::string label = "a";
   address at;               // Where it takes calls.
   address control;          // Of the agent on its machine.
   milliseconds work{1000};  // Of each task.
