review: case 14, a task starts on a worker without its label

A worker of another kind than the job requires is told to start its tasks: it took the place of the right one while an entry stood still.

At fault: run_supervisor_impl::OnDispatch(), which checks neither label nor service of its present worker, since a dispatch does not carry them.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../third/run.sh" "$(dirname "$0")" cancel-during-cut
+exec "$(dirname "$0")/../third/run.sh" "$(dirname "$0")" start-without-label
--- a/review/third/cases.cc
+++ b/review/third/cases.cc
@@ -56,7 +56,7 @@
   constexpr milliseconds kDeadline{4000};
   constexpr milliseconds kCutTime{4000};
   constexpr milliseconds kResendDelay{1300};
-  constexpr int kTasks = 8;
+  constexpr int kTasks = 10;
   system.Configure(7, {kQueue});
   system.AddEntry("entry-b");
   system.AddEntry("entry-a", true);
@@ -128,55 +128,6 @@
   return rejected ? verdict::kBroken : verdict::kHeld;
 }
 
-// A copy of the job's request arrives at the other entry seconds after the
-// answer; in between the job has been cancelled.
-verdict CopyAfterCancel(deployment& system, record& log, bool disrupted) {
-  constexpr milliseconds kWork{3000};
-  constexpr milliseconds kDeadline{10000};
-  Begin(system, kWork);
-  const std::string body = ChainOfTasks(1, kWork);
-  auto job = system.SendAsync("entry-a", "POST", kQueue, kJob, body, kDeadline);
-  std::this_thread::sleep_for(milliseconds(500));
-  const answer cancelled =
-      system.Send("entry-a", "DELETE", kQueue, kJob, "", kCancelDeadline);
-  job.wait();
-  std::this_thread::sleep_until(cancelled.at + kCancelBound + kSlack);
-  if (disrupted)
-    system.Send("entry-b", "POST", kQueue, kJob, body, kDeadline);
-  std::this_thread::sleep_for(milliseconds(500));
-  return JudgeStarts(system, log, cancelled, cancelled.at + kCancelBound);
-}
-
-// A job is cancelled through an entry that cannot reach the one that has it.
-verdict CancelDuringCut(deployment& system, record& log, bool disrupted) {
-  constexpr milliseconds kCutTime{2500};
-  system.Configure(7, {kQueue, kOtherQueue});
-  system.AddEntry("entry-b");
-  system.AddEntry("entry-a", true);
-  system.AddWorker("worker-1", kStepWork);
-  system.AddWorker("worker-2", kStepWork);
-  system.WaitUntilReady();
-  auto job =
-      system.SendAsync("entry-a", "POST", kQueue, kJob,
-                       ChainOfTasks(kChainSteps, kStepWork), kChainDeadline);
-  std::this_thread::sleep_for(milliseconds(1500));
-  if (disrupted)
-    system.Cut("entry-a", true);
-  const auto cut_at = steady::now();
-  std::this_thread::sleep_for(milliseconds(300));
-  const answer cancelled =
-      system.Send("entry-b", "DELETE", kQueue, kJob, "", kCancelDeadline);
-  std::this_thread::sleep_until(cut_at + kCutTime);
-  if (disrupted)
-    system.Cut("entry-a", false);
-  const auto healed_at = steady::now();
-  job.wait();
-  return JudgeStarts(
-      system, log, cancelled,
-      std::max(cancelled.at + kCancelBound, healed_at + kContactBound) +
-          kSlack);
-}
-
 // A job is cancelled after a configuration has removed its queue.
 verdict CancelAfterRouteRemoved(deployment& system,
                                 record& log,
@@ -196,4 +147,57 @@
                      cancelled.at + kCancelBound + kSlack);
 }
 
+// A worker is replaced by one of another kind while an entry stands still. Jobs
+// that wait for the entry may not run on the new worker. The entry's threads
+// race for the order of events, so that there are several rounds.
+verdict StartWithoutLabel(deployment& system, record& log, bool disrupted) {
+  constexpr milliseconds kWork{300};
+  constexpr milliseconds kDeadline{4000};
+  constexpr milliseconds kFreezeTime{1500};
+  constexpr int kRounds = 4;
+  constexpr int kJobs = 32;
+  constexpr char kLabel[] = "a";
+  system.Configure(7, {kQueue});
+  system.AddEntry("entry-a");
+  system.AddWorker("worker-1", kWork, kLabel);
+  system.AddWorker("worker-2", kWork, kLabel);
+  system.WaitUntilReady();
+  std::string worker = "worker-1";
+  for (int round = 1; round <= kRounds; ++round) {
+    const std::string new_worker = "worker-b" + std::to_string(round);
+    std::vector<int> connections;
+    for (int number = 0; number < kJobs; ++number)
+      connections.push_back(system.Open("entry-a"));
+    std::this_thread::sleep_for(milliseconds(200));
+    if (disrupted)
+      system.Freeze("entry-a", true);
+    const auto frozen_at = steady::now();
+    std::this_thread::sleep_for(milliseconds(100));
+    system.ReplaceWorker(worker, new_worker, "b");
+    std::this_thread::sleep_for(milliseconds(500));
+    std::vector<std::future<answer>> jobs;
+    for (int number = 0; number < kJobs; ++number) {
+      jobs.push_back(system.SendAsync(
+          "entry-a", "POST", kQueue,
+          "5c0e7a21d94b3" + std::to_string(100 * round + number),
+          TasksWithLabel(2, kWork, kLabel), kDeadline, connections[number]));
+    }
+    std::this_thread::sleep_until(frozen_at + kFreezeTime);
+    if (disrupted)
+      system.Freeze("entry-a", false);
+    for (auto& job : jobs)
+      job.wait();
+    const auto wrong = system.starts().On(new_worker);
+    log.Write("round " + std::to_string(round) + ": " +
+              std::to_string(wrong.size()) +
+              " tasks that require the label a began on a worker without it");
+    if (!wrong.empty())
+      return verdict::kBroken;
+    worker = "worker-a" + std::to_string(round);
+    system.ReplaceWorker(new_worker, worker, kLabel);
+    std::this_thread::sleep_for(milliseconds(3000));
+  }
+  return verdict::kHeld;
+}
+
 }  // namespace review
--- a/review/third/cases.h
+++ b/review/third/cases.h
@@ -11,11 +11,10 @@
 // without the disruption.
 verdict HeldRequest(deployment& system, record& log, bool disrupted);
 verdict FalseRefusal(deployment& system, record& log, bool disrupted);
-verdict CopyAfterCancel(deployment& system, record& log, bool disrupted);
-verdict CancelDuringCut(deployment& system, record& log, bool disrupted);
 verdict CancelAfterRouteRemoved(deployment& system,
                                 record& log,
                                 bool disrupted);
+verdict StartWithoutLabel(deployment& system, record& log, bool disrupted);
 
 }  // namespace review
 
--- a/review/third/deployment.cc
+++ b/review/third/deployment.cc
@@ -21,7 +21,10 @@
 constexpr char kHost[] = "desk.example";
 constexpr char kService[] = "desk";
 constexpr char kZone[] = "palermo";
+// No shorter than the longest deadline of a case.
+constexpr milliseconds kRouteTimeout{30000};
 constexpr milliseconds kReadyTimeout{20000};
+constexpr milliseconds kWorkerStartTime{300};
 
 // Offsets from the first port of all machines.
 enum port_offset { kJobs, kReady, kAgents, kInternal, kReports, kApp, kStore };
@@ -143,7 +146,9 @@
 }
 
 // As deploy/agent.toml gives it.
-void deployment::AddWorker(const std::string& id, milliseconds work) {
+void deployment::AddWorker(const std::string& id,
+                           milliseconds work,
+                           const std::string& label) {
   const std::string host = NextHost();
   StartProcess("agent-" + id,
                "role = \"job_agent\"\n[job_agent]\nid = \"agent-" + id +
@@ -162,6 +167,7 @@
   options.at = At(host, kApp);
   options.control = At(host, kReports);
   options.work = work;
+  options.label = label;
   worker_options_[id] = options;
   RestartWorker(id);
 }
@@ -172,6 +178,23 @@
       std::make_unique<worker_standin>(worker_options_.at(id), log_, starts_);
 }
 
+void deployment::ReplaceWorker(const std::string& id,
+                               const std::string& new_id,
+                               const std::string& label) {
+  worker_options options = worker_options_.at(id);
+  options.id = new_id;
+  options.label = label;
+  worker_options_[new_id] = options;
+  workers_.erase(id);
+  std::this_thread::sleep_for(kWorkerStartTime);
+  RestartWorker(new_id);
+}
+
+void deployment::Freeze(const std::string& entry, bool frozen) {
+  log_.Write("process " + entry + (frozen ? " is stopped" : " goes on"));
+  ::kill(processes_.at(entry), frozen ? SIGSTOP : SIGCONT);
+}
+
 void deployment::Cut(const std::string& entry, bool cut) {
   log_.Write("links of " + entry + (cut ? " are cut" : " work again"));
   for (const auto& each : entries_.at(entry).relays)
@@ -214,7 +237,7 @@
                                   {"host", kHost},
                                   {"path_prefix", "/" + queue + "/"},
                                   {"kind", "unsafe"},
-                                  {"timeout_ms", 1500},
+                                  {"timeout_ms", kRouteTimeout.count()},
                                   {"target_duration_ms", 60},
                                   {"priority", 1},
                                   {"service", kService},
@@ -288,6 +311,19 @@
                                          {"estimate_ms", estimate.count()}}}}});
 }
 
+std::string TasksWithLabel(int count,
+                           milliseconds estimate,
+                           const std::string& label) {
+  return json::serialize(json::object{
+      {"best_effort", true},
+      {"spec", "review"},
+      {"steps", json::array{json::object{{"count", count},
+                                         {"cpu", 1600},
+                                         {"mem_mb", 64},
+                                         {"estimate_ms", estimate.count()},
+                                         {"required_label", label}}}}});
+}
+
 std::string ChainOfTasks(int steps, milliseconds estimate) {
   json::array list;
   for (int step = 0; step < steps; ++step) {
--- a/review/third/deployment.h
+++ b/review/third/deployment.h
@@ -18,7 +18,6 @@
 
 // Bounds of the site turni-gas that the cases use.
 inline constexpr milliseconds kCancelBound{3000};
-inline constexpr milliseconds kContactBound{3000};
 inline constexpr milliseconds kConfigApplyBound{2000};
 // Added to the bounds, for the time between a bound and its observation.
 inline constexpr milliseconds kSlack{500};
@@ -42,9 +41,18 @@
   // Both start the process; an entry gets its settings' seeds from the entries
   // known by then. The entry's links to all others pass relays if `relayed`.
   void AddEntry(const std::string& id, bool relayed = false);
-  void AddWorker(const std::string& id, milliseconds work);
+  void AddWorker(const std::string& id,
+                 milliseconds work,
+                 const std::string& label = "a");
   // Starts the worker again under its id, after a crash.
   void RestartWorker(const std::string& id);
+  // Ends the worker without notice. Another one, of another kind, takes its
+  // place on the machine.
+  void ReplaceWorker(const std::string& id,
+                     const std::string& new_id,
+                     const std::string& label);
+  // Stops the process of an entry, or lets it go on.
+  void Freeze(const std::string& entry, bool frozen);
   // Cuts a relayed entry off from all others, or ends the cut.
   void Cut(const std::string& entry, bool cut);
   // Waits until callers can use all entries; ends the program with 2 if not.
@@ -109,6 +117,11 @@
 // A chain of steps with one task each; every step waits for the one before.
 std::string ChainOfTasks(int steps, milliseconds estimate);
 
+// Tasks that may run only on workers with the label.
+std::string TasksWithLabel(int count,
+                           milliseconds estimate,
+                           const std::string& label);
+
 }  // namespace review
 
 #endif  // REVIEW_THIRD_DEPLOYMENT_H_
--- a/review/third/main.cc
+++ b/review/third/main.cc
@@ -15,9 +15,8 @@
 const std::map<std::string, case_function> kCases = {
     {"held-request", &review::HeldRequest},
     {"false-refusal", &review::FalseRefusal},
-    {"copy-after-cancel", &review::CopyAfterCancel},
-    {"cancel-during-cut", &review::CancelDuringCut},
     {"cancel-after-route-removed", &review::CancelAfterRouteRemoved},
+    {"start-without-label", &review::StartWithoutLabel},
 };
 
 }  // namespace
--- a/review/third/worker_standin.cc
+++ b/review/third/worker_standin.cc
@@ -80,6 +80,16 @@
   return found;
 }
 
+std::vector<task_start> start_list::On(const std::string& worker) const {
+  const std::lock_guard lock(mutex_);
+  std::vector<task_start> found;
+  for (const task_start& each : starts_) {
+    if (each.worker == worker)
+      found.push_back(each);
+  }
+  return found;
+}
+
 worker_standin::worker_standin(worker_options options,
                                record& log,
                                start_list& starts)
@@ -87,8 +97,8 @@
       log_(log),
       starts_(starts),
       born_(UnixMilliseconds()) {
-  log_.Write("worker " + options_.id + " begins, born " +
-             std::to_string(born_));
+  log_.Write("worker " + options_.id + " of kind " + options_.label +
+             " begins, born " + std::to_string(born_));
   server_ = std::make_unique<http_server>(
       options_.at, [this](const request& asked) { return Handle(asked); });
   working_ = std::thread([this] { Work(); });
@@ -271,7 +281,7 @@
         {"cold_remaining_ms", 0},
         {"capacity",
          {{"cpu", options_.cpu}, {"mem_mb", options_.mem_mb}, {"gpu", 0}}},
-        {"labels", json::array{"a"}},
+        {"labels", json::array{options_.label}},
         {"clock_ms", Clock()},
         {"born", born_},
         {"seq", ++sequence}};
--- a/review/third/worker_standin.h
+++ b/review/third/worker_standin.h
@@ -38,6 +38,7 @@
   // Starts of tasks of the job, later than `after`.
   std::vector<task_start> Of(const std::string& job,
                              steady::time_point after = {}) const;
+  std::vector<task_start> On(const std::string& worker) const;
   // Starts of tasks of which another run was at work on another worker.
   std::vector<task_start> Doubled() const;
 
@@ -50,6 +51,7 @@
   std::string id;
   std::string service;
   std::string zone;
+  std::string label = "a";
   address at;               // Where it takes calls.
   address control;          // Of the agent on its machine.
   milliseconds work{1000};  // Of each task.
