--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,2 +1,5 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../third/run.sh" "$(dirname "$0")" false-refusal
+# TROUBLE=0 leaves the disruption out. Exits with 1 if the rule was broken, 0 if
+# it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+exec ../third/run.sh "$PWD" false-refusal "${TROUBLE:-1}"
--- a/review/third/main.cc
+++ b/review/third/main.cc
@@ -1,5 +1,4 @@
 #include <cstdio>
-#include <cstdlib>
 #include <exception>
 #include <map>
 #include <string>
@@ -21,16 +20,16 @@
 
 }  // namespace
 
-// Usage: review_case NAME RECORD FOLDER. Run in the repository's root. Exits
-// with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+// Usage: review_case NAME RECORD FOLDER TROUBLE, where TROUBLE 0 leaves the
+// disruption out. Run in the repository's root. Exits with 1 if the rule was
+// broken, 0 if it held, 2 if the case could not run.
 int main(int argc, char** argv) {
-  const auto found = argc == 4 ? kCases.find(argv[1]) : kCases.end();
+  const auto found = argc == 5 ? kCases.find(argv[1]) : kCases.end();
   if (found == kCases.end()) {
-    std::fprintf(stderr, "usage: review_case NAME RECORD FOLDER\n");
+    std::fprintf(stderr, "usage: review_case NAME RECORD FOLDER TROUBLE\n");
     return 2;
   }
-  const char* trouble = std::getenv("TROUBLE");
-  const bool disrupted = trouble == nullptr || std::string(trouble) != "0";
+  const bool disrupted = std::string(argv[4]) != "0";
   review::record log(argv[2]);
   try {
     review::deployment system(argv[3], log);
--- a/review/third/run.sh
+++ b/review/third/run.sh
@@ -1,5 +1,6 @@
 #!/usr/bin/env bash
-# Runs one case. Usage: run.sh FOLDER NAME; FOLDER is that of the case.
+# Runs one case. Usage: run.sh FOLDER NAME TROUBLE; FOLDER is that of the case,
+# and TROUBLE 0 leaves the disruption out.
 set -uo pipefail
 folder=$(cd "$1" && pwd)
 cd "$(dirname "$0")/../.."
@@ -10,7 +11,7 @@
 fi
 temporary=$(mktemp -d)
 trap 'rm -rf "$temporary"' EXIT
-timeout --kill-after=5 115 "$driver" "$2" "$folder/record.txt" "$temporary"
+timeout --kill-after=5 115 "$driver" "$2" "$folder/record.txt" "$temporary" "$3"
 code=$?
 if [ -n "${KEEP_LOGS:-}" ]; then
   cp "$temporary"/*.log "$KEEP_LOGS"
