Start a task only on the worker for which it was dispatched

What callers saw: tasks that require a label began on a worker without it. An entry stood still while a worker was replaced by one of another kind and callers sent jobs; it then dispatched tasks by what it knew of the earlier worker.

Cause: a dispatch named neither the worker nor what the choice rested on, and the agent checked the capacity only. The order in which the resumed entry reads its events makes the fault likely, but the window is open whenever a heartbeat and a dispatch cross. Related: runs that were queued at the agent when a report changed labels, desk or capacity started all the same, and learned run times were kept for a worker with the same id and other labels.

Change: an agent numbers the descriptions of its worker (id, time of birth, desk, labels, capacity). Heartbeats carry the number, a dispatch repeats the one that its entry chose by, and worker_revision decides at the agent, without network or clock, whether it may start. The frame that returns the task (worker_changed) describes the worker, so that the entry places the task anew at once and counts nothing against anybody. The new fields are optional: entries and agents of the earlier release work as before.

--- a/src/include/egretrack/wire/run_messages.h
+++ b/src/include/egretrack/wire/run_messages.h
@@ -43,6 +43,8 @@
   kWorkerLost,
   kEntrySilent,
   kEvacuated,  // The worker's failure domain is evacuated.
+  // The agent has another worker by now than the one that was chosen.
+  kWorkerChanged,
 };
 
 // Stable names for logs, for example "queued_too_long".
@@ -84,6 +86,9 @@
   std::string desk;
   std::vector<std::string> labels;  // The first is the machine class.
   resources capacity;
+  // Changes whenever any of the above, or the incarnation of the worker, does.
+  // Unset in frames of earlier releases.
+  std::optional<std::uint64_t> revision = std::nullopt;
 
   bool operator==(const worker_facts&) const = default;
 };
@@ -164,6 +169,8 @@
   // Agents start tasks in the order of these times, which are relative as
   // `target` is; equal to it for a dispatch of an earlier release.
   microseconds virtual_deadline{0};
+  // worker_facts::revision of the worker for which the task is meant.
+  std::optional<std::uint64_t> worker_revision;
 
   bool operator==(const run_dispatch&) const = default;
 };
--- a/src/scheduler/job_scheduler_agents.cc
+++ b/src/scheduler/job_scheduler_agents.cc
@@ -147,7 +147,10 @@
   std::optional<wire::worker_facts> worker;
   if (!message.worker.empty())
     worker = std::move(message.worker.front());
-  if (worker && view.worker && worker->id != view.worker->id) {
+  const bool other_worker =
+      worker && view.worker &&
+      (worker->id != view.worker->id || worker->labels != view.worker->labels);
+  if (other_worker) {
     run_times_.ResetWorker(view.agent());
     view.health = {};
     view.refusals = {};
@@ -355,7 +358,9 @@
                   {"queued_us", report.queued.count()}});
   RecordNearReturn(job, task, report);
   EndDispatch(job, task);
-  returned.avoided_agent = &view;
+  // Another worker of the same agent may well run the task.
+  if (report.reason != wire::run_reason::kWorkerChanged)
+    returned.avoided_agent = &view;
   if (report.reason == wire::run_reason::kEvacuated)
     OnEvacuatedReturn(view);
   if (report.reason == wire::run_reason::kWorkerRefused)
--- a/src/scheduler/job_scheduler_dispatch.cc
+++ b/src/scheduler/job_scheduler_dispatch.cc
@@ -228,6 +228,7 @@
   dispatch.target = job.target - now_;
   dispatch.virtual_deadline = dispatch.target;
   dispatch.queue_bound = queue_bound;
+  dispatch.worker_revision = view.worker->revision;
   view.RecordDispatch(step.spec.need);
   view.outgoing.emplace_back(std::move(dispatch));
   return true;
--- a/src/scheduler/run_supervisor.cc
+++ b/src/scheduler/run_supervisor.cc
@@ -53,6 +53,7 @@
 
 run_supervisor_impl::run_supervisor_impl(supervisor_options options)
     : options_(std::move(options)),
+      revision_(options_.agent_incarnation),
       lease_(options_.lease, options_.longest_lease, options_.clock_drift),
       call_limit_(LongestCall(options_)),
       fence_(options_.first_fence),
@@ -152,14 +153,18 @@
 
 // ---- Drain ----------------------------------------------------------------
 
-std::optional<wire::run_reason> run_supervisor_impl::DispatchRefusalReason()
-    const {
+std::optional<wire::run_reason> run_supervisor_impl::RefusalReasonOf(
+    const wire::run_dispatch& dispatch) const {
   if (evacuated_)
     return wire::run_reason::kEvacuated;
   if (draining_ || (worker_ && worker_->draining))
     return wire::run_reason::kDraining;
   if (!HasUsableWorker())
     return wire::run_reason::kNoWorker;
+  if (!revision_.Allows(dispatch.worker_revision))
+    return wire::run_reason::kWorkerChanged;
+  if (!worker_->report.capacity.Fits(dispatch.need))
+    return wire::run_reason::kNoRoom;
   return std::nullopt;
 }
 
@@ -237,6 +242,11 @@
     RefuseQueuedRuns(wire::run_reason::kDraining);
   }
   worker_->report = std::move(report);
+  // Queued runs were meant for the worker as it was.
+  if (revision_.Describe(worker_->report)) {
+    RefuseQueuedRuns(wire::run_reason::kWorkerChanged);
+    ScheduleHeartbeats();
+  }
 }
 
 // A report alone does not show that the current worker has ended: it may be a
--- a/src/scheduler/run_supervisor_impl.h
+++ b/src/scheduler/run_supervisor_impl.h
@@ -18,6 +18,7 @@
 #include "scheduler/run_end_proof.h"
 #include "scheduler/run_table.h"
 #include "scheduler/worker_lease.h"
+#include "scheduler/worker_revision.h"
 
 namespace egretrack::scheduler {
 
@@ -85,8 +86,9 @@
   monotonic_time NextWakeup() const;
   void ExpireQueuedRuns();
   void CheckDrain();
-  // Why a dispatch is refused now, or nullopt if it is accepted.
-  std::optional<wire::run_reason> DispatchRefusalReason() const;
+  // Why the dispatch is refused, or nullopt if it is accepted.
+  std::optional<wire::run_reason> RefusalReasonOf(
+      const wire::run_dispatch& dispatch) const;
   void RecordDecision(decision_kind kind,
                       std::string_view job,
                       std::vector<event_field> fields);
@@ -216,6 +218,7 @@
   bool evacuated_ = false;  // The agent's failure domain is.
   run_table runs_;
   std::optional<worker_state> worker_;
+  worker_revision revision_;  // Of `worker_`, as described last.
   std::optional<reported_successor> successor_;
   worker_lease lease_;
   call_time_limit call_limit_;
--- a/src/scheduler/run_supervisor_links.cc
+++ b/src/scheduler/run_supervisor_links.cc
@@ -98,14 +98,16 @@
   run.virtual_deadline = now_ + message.virtual_deadline;
   run.return_at = now_ + message.queue_bound;
   const std::uint64_t key = runs_.Add(std::move(run));
-  if (const auto reason = DispatchRefusalReason()) {
-    RefuseRun(key, *reason);
-    // The entry may have restarted or lost the message that told it.
-    if (*reason == wire::run_reason::kEvacuated)
-      RequestEvacuationHeartbeat(entry);
-  } else if (!worker_->report.capacity.Fits(message.need)) {
-    RefuseRun(key, wire::run_reason::kNoRoom);
-  }
+  const auto reason = RefusalReasonOf(message);
+  if (!reason)
+    return;
+  RefuseRun(key, *reason);
+  // The entry may have restarted or lost the message that told it.
+  if (*reason == wire::run_reason::kEvacuated)
+    RequestEvacuationHeartbeat(entry);
+  // The entry places the task anew, so that it has to know the worker.
+  if (*reason == wire::run_reason::kWorkerChanged)
+    link.heartbeat_requested = true;
 }
 
 void run_supervisor_impl::OnCancel(wire::run_cancel& message,
@@ -169,8 +171,8 @@
   heartbeat.members_hash = members_hash_;
   if (HasUsableWorker()) {
     const worker_report& report = worker_->report;
-    heartbeat.worker.push_back(
-        {report.id, report.desk, report.labels, report.capacity});
+    heartbeat.worker.push_back({report.id, report.desk, report.labels,
+                                report.capacity, revision_.number()});
   }
   heartbeat.draining = draining_ || (worker_ && worker_->draining) ||
                        link.state == link_state::kLeaving;
--- a/src/scheduler/tests/run_supervisor_test.cc
+++ b/src/scheduler/tests/run_supervisor_test.cc
@@ -681,6 +681,62 @@
   EXPECT_EQ(driver_.Reports()[0].end, run_end::kDone);
 }
 
+// Guards against starting a dispatch that was made for another worker, which
+// crossed the heartbeat that names the new one (review, case 14).
+TEST_F(RunSupervisor, RefusesDispatchForAnEarlierWorker) {
+  auto dispatch = driver_.MakeDispatch(0);
+  dispatch.worker_revision = driver_.LastHeartbeat(0)->worker[0].revision;
+  ASSERT_TRUE(dispatch.worker_revision);
+  auto successor = supervisor_driver::WorkerReport(2000);
+  successor.id = "w2";
+  successor.labels = {"b", "r1"};
+  driver_.AdvanceTime(milliseconds(5));
+  driver_.Handle(successor);
+  driver_.FailPoll(worker_call_result::kOtherIncarnation);
+  driver_.AnswerPoll({}, {}, 2000);
+  driver_.AnswerHeartbeats();
+  auto frame = driver_.MakeFrame(0);
+  frame.messages.emplace_back(dispatch);
+  const std::size_t frames = driver_.Commands<send_to_entry>().size();
+  driver_.Handle(entry_frame{0, frame});
+  EXPECT_TRUE(driver_.Commands<start_run>().empty());
+  ASSERT_EQ(driver_.Reports().size(), 1U);
+  EXPECT_EQ(driver_.Reports()[0].end, run_end::kRefused);
+  EXPECT_EQ(driver_.Reports()[0].reason, run_reason::kWorkerChanged);
+  // The same frame describes the worker, so that the task is placed by it.
+  ASSERT_EQ(driver_.Commands<send_to_entry>().size(), frames + 1);
+  EXPECT_EQ(driver_.Commands<send_to_entry>().back().frame.messages.size(), 2U);
+  EXPECT_EQ(driver_.LastHeartbeat(0)->worker[0].labels[0], "b");
+  EXPECT_NE(driver_.LastHeartbeat(0)->worker[0].revision,
+            dispatch.worker_revision);
+}
+
+// Guards against starting a queued run after a report has changed the labels or
+// the capacity for which its worker was chosen.
+TEST_F(RunSupervisor, ReturnsQueuedRunsWhenTheWorkerChanges) {
+  for (std::uint32_t task = 0; task < 11; ++task)
+    driver_.Dispatch(task);
+  driver_.AnswerHeartbeats();
+  auto changed = supervisor_driver::WorkerReport(1000, 2);
+  changed.labels = {"b", "r1"};
+  driver_.Handle(changed);
+  EXPECT_EQ(driver_.core->gauges().queued, 0U);
+  ASSERT_FALSE(driver_.Reports().empty());
+  EXPECT_EQ(driver_.Reports()[0].reason, run_reason::kWorkerChanged);
+  EXPECT_EQ(driver_.LastHeartbeat(0)->worker[0].labels[0], "b");
+}
+
+// Guards against turning away dispatches for a worker that only reports again.
+TEST_F(RunSupervisor, AcceptsDispatchForTheWorkerItHas) {
+  auto dispatch = driver_.MakeDispatch(0);
+  dispatch.worker_revision = driver_.LastHeartbeat(0)->worker[0].revision;
+  driver_.Handle(supervisor_driver::WorkerReport(1000, 2));
+  auto frame = driver_.MakeFrame(0);
+  frame.messages.emplace_back(dispatch);
+  driver_.Handle(entry_frame{0, frame});
+  EXPECT_EQ(driver_.Commands<start_run>().size(), 1U);
+}
+
 // Guards against starting tasks while a report suggests that the worker has
 // started again, as both lives accept calls for its id.
 TEST_F(RunSupervisor, StartsNothingUntilReportedRestartIsVerified) {
--- a/src/scheduler/tests/system_model.cc
+++ b/src/scheduler/tests/system_model.cc
@@ -41,6 +41,14 @@
                                    6);
 }
 
+// Every other job requires it. A worker keeps its label under its id.
+constexpr const char* kRequiredLabel = "a";
+constexpr const char* kOtherLabel = "b";
+
+bool RequiresLabel(std::size_t job) {
+  return job % 2 == 0;
+}
+
 std::string TaskName(const run_id& id) {
   return id.job_key + "." + std::to_string(id.step) + "." +
          std::to_string(id.index);
@@ -100,6 +108,7 @@
   std::uint64_t process = 0;
   std::size_t worker = 0;
   std::string id;
+  std::string label;
   std::int64_t born = 0;
   monotonic_time clock_start;
   double clock_rate = 1;
@@ -116,6 +125,7 @@
 struct system_model::worker {
   std::unique_ptr<worker_process> process;  // Null while down.
   std::uint64_t ids = 0;
+  std::string label{kRequiredLabel};
   monotonic_time cut_until{};
   monotonic_time slow_until{};
   double late_share = 0;  // Of calls while slow.
@@ -271,6 +281,7 @@
   auto process = std::make_unique<worker_process>();
   process->process = ++last_process_;
   process->worker = index;
+  process->label = target.label;
   process->id = "w" + std::to_string(index) + "-" + std::to_string(target.ids);
   process->born = kFirstBirth + std::chrono::duration_cast<milliseconds>(
                                     now_.time_since_epoch() + birth_offset)
@@ -662,6 +673,8 @@
   }
   const std::size_t number =
       static_cast<std::size_t>(std::stoul(call.id.job_key.substr(1)));
+  if (RequiresLabel(number) && process.label != kRequiredLabel)
+    violations_.push_back(task + " began without its label on " + process.id);
   worker_process::run run;
   run.number = call.id.run_number;
   run.id = call.id;
@@ -750,6 +763,10 @@
 
 void system_model::ReportWorker(std::size_t index) {
   At(kReportInterval, [this, index] { ReportWorker(index); });
+  SendReport(index);
+}
+
+void system_model::SendReport(std::size_t index) {
   const auto& process = workers_[index]->process;
   if (!process)
     return;
@@ -758,7 +775,7 @@
   report.worker_incarnation = process->born;
   report.desk = "gas";
   report.address = WorkerAddress(index);
-  report.labels = {"a"};
+  report.labels = {process->label};
   report.capacity = {16000, 32768, 0};
   report.sequence = ++process->sequence;
   // Some reports are doubled or arrive after those of a later process.
@@ -796,6 +813,8 @@
   submission.sent_after =
       submission.caller_seen_at - RandomTime(milliseconds(0), kLongestIdleTime);
   submission.steps[0].estimate = sent.run_time;
+  if (RequiresLabel(number))
+    submission.steps[0].required_label = kRequiredLabel;
   if (now_ < target.cut_until)
     return HoldUp(number, index, std::move(submission));
   ReceiveAtEntry(index, std::move(submission));
@@ -956,8 +975,15 @@
           return;
         target.process.reset();
         return At(fault.duration / 2, [this, index, fault] {
-          StartWorker(index, fault.kind == model_fault_kind::kReplaceWorker,
-                      -milliseconds(fault.target % 4 * 1000));
+          const bool replaced = fault.kind == model_fault_kind::kReplaceWorker;
+          if (replaced) {
+            workers_[index]->label =
+                fault.target % 4 < 2 ? kOtherLabel : kRequiredLabel;
+          }
+          StartWorker(index, replaced, -milliseconds(fault.target % 4 * 1000));
+          // A new worker reports at once.
+          if (replaced)
+            SendReport(index);
         });
       case model_fault_kind::kCutWorker:
         target.cut_until = now_ + fault.duration / 4;
--- a/src/scheduler/tests/system_model.h
+++ b/src/scheduler/tests/system_model.h
@@ -20,7 +20,7 @@
   kRestartEntry,
   kRestartAgent,
   kRestartWorker,  // Under its id, with any time of birth.
-  kReplaceWorker,  // By one with another id.
+  kReplaceWorker,  // By one with another id, and perhaps another label.
   kCutWorker,      // The agent cannot connect; the worker runs on.
   kSlowWorker,     // Calls are answered or executed late, or not at all.
   kOddReport,      // Of a worker that does not exist, or of another process.
@@ -114,6 +114,7 @@
                   const std::shared_ptr<worker_call>& call);
   worker_call_result StartRun(worker_process& process, const worker_call& call);
   void ReportWorker(std::size_t index);
+  void SendReport(std::size_t index);
   void AdvanceWorkers();
   bool RunsElsewhere(const std::string& task,
                      const worker_process& process) const;
--- a/src/scheduler/tests/system_property_test.cc
+++ b/src/scheduler/tests/system_property_test.cc
@@ -1,4 +1,5 @@
 #include <cstdint>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -77,13 +78,14 @@
   EXPECT_EQ(model.violations(), std::vector<std::string>());
 }
 
-// One fault under many different delays and losses.
-std::vector<std::string> ViolationsOf(const model_fault& fault) {
+// The faults under many different delays and losses.
+std::vector<std::string> ViolationsOf(std::span<const model_fault> faults) {
   constexpr std::uint64_t kSeeds = 200;
   std::vector<std::string> violations;
   for (std::uint64_t seed = 1; seed <= kSeeds; ++seed) {
     system_model model(seed);
-    model.Inject(fault);
+    for (const model_fault& fault : faults)
+      model.Inject(fault);
     model.Run(kModelTime);
     for (const std::string& violation : model.violations())
       violations.push_back("seed " + std::to_string(seed) + ": " + violation);
@@ -94,17 +96,30 @@
 // Guards against a job that is refused although a task of it ended its worker
 // as it began (review, case 12).
 TEST(SystemModel, RefusesNoJobWhoseTaskEndedItsWorker) {
-  EXPECT_EQ(ViolationsOf({milliseconds(1400), model_fault_kind::kCrashAtStart,
-                          0, milliseconds(700)}),
-            std::vector<std::string>());
+  const model_fault crash{milliseconds(1400), model_fault_kind::kCrashAtStart,
+                          0, milliseconds(700)};
+  EXPECT_EQ(ViolationsOf({&crash, 1}), std::vector<std::string>());
 }
 
 // Guards against tasks that an entry starts for requests that were held up
 // while it was cut off (review, case 11).
 TEST(SystemModel, StartsNoTaskOfARequestThatWasHeldUp) {
-  EXPECT_EQ(ViolationsOf({milliseconds(700), model_fault_kind::kCutEntry, 0,
-                          milliseconds(500)}),
-            std::vector<std::string>());
+  const model_fault cut{milliseconds(700), model_fault_kind::kCutEntry, 0,
+                        milliseconds(500)};
+  EXPECT_EQ(ViolationsOf({&cut, 1}), std::vector<std::string>());
+}
+
+// Guards against tasks that begin on a worker without the required label, which
+// took the place of another while entries stood still (review, case 14).
+TEST(SystemModel, StartsNoTaskOnAWorkerThatWasNotChosen) {
+  std::vector<model_fault> faults;
+  for (const std::uint32_t target : {0U, 1U}) {
+    faults.push_back({milliseconds(1500), model_fault_kind::kPauseEntry, target,
+                      milliseconds(350)});
+    faults.push_back({milliseconds(1550), model_fault_kind::kReplaceWorker,
+                      12 * target + target, milliseconds(200)});
+  }
+  EXPECT_EQ(ViolationsOf(faults), std::vector<std::string>());
 }
 
 // Guards against a model in which nothing runs, so that no fault is found.
--- a/src/wire/run_codec.cc
+++ b/src/wire/run_codec.cc
@@ -35,6 +35,8 @@
   for (const std::string& label : from.labels)
     to.add_labels(label);
   Write(from.capacity, *to.mutable_capacity());
+  if (from.revision)
+    to.set_revision(*from.revision);
 }
 
 void Write(const domain_evacuation& from, pb::DomainEvacuation& to) {
@@ -63,11 +65,18 @@
   to.set_task(from.task);
   to.set_attempt(from.attempt);
   to.set_end(static_cast<pb::RunEnd>(from.end));
-  const bool evacuated = from.reason == run_reason::kEvacuated;
-  to.set_reason(evacuated ? pb::RUN_REASON_DRAINING
-                          : static_cast<pb::RunReason>(from.reason));
-  if (evacuated)
-    to.set_evacuated(true);
+  switch (from.reason) {
+    case run_reason::kEvacuated:
+      to.set_reason(pb::RUN_REASON_DRAINING);
+      to.set_evacuated(true);
+      break;
+    case run_reason::kWorkerChanged:
+      to.set_reason(pb::RUN_REASON_NO_WORKER);
+      to.set_worker_changed(true);
+      break;
+    default:
+      to.set_reason(static_cast<pb::RunReason>(from.reason));
+  }
   to.set_queued_us(ToCount(from.queued));
   to.set_ran_us(ToCount(from.ran));
 }
@@ -102,6 +111,8 @@
   to.set_target_us(from.target.count());
   to.set_queue_bound_us(ToCount(from.queue_bound));
   to.set_virtual_deadline_us(from.virtual_deadline.count());
+  if (from.worker_revision)
+    to.set_worker_revision(*from.worker_revision);
 }
 
 void Write(const run_cancel& from, pb::EntryRunMessage& out) {
@@ -134,9 +145,19 @@
   worker_facts to{from.id(), from.desk(), {}, {}};
   to.labels.assign(from.labels().begin(), from.labels().end());
   Read(from.capacity(), to.capacity);
+  if (from.has_revision())
+    to.revision = from.revision();
   return to;
 }
 
+run_reason ReadReason(const pb::RunReport& from) {
+  if (from.evacuated())
+    return run_reason::kEvacuated;
+  if (from.worker_changed())
+    return run_reason::kWorkerChanged;
+  return static_cast<run_reason>(from.reason());
+}
+
 template <typename Evacuations>
 std::vector<domain_evacuation> ReadEvacuations(const Evacuations& from) {
   std::vector<domain_evacuation> to;
@@ -174,8 +195,7 @@
   to.task = from.task();
   to.attempt = from.attempt();
   to.end = static_cast<run_end>(from.end());
-  to.reason = from.evacuated() ? run_reason::kEvacuated
-                               : static_cast<run_reason>(from.reason());
+  to.reason = ReadReason(from);
   if (!Read(from.queued_us(), to.queued) || !Read(from.ran_us(), to.ran))
     return std::nullopt;
   return to;
@@ -215,6 +235,8 @@
   to.virtual_deadline =
       microseconds(from.has_virtual_deadline_us() ? from.virtual_deadline_us()
                                                   : from.target_us());
+  if (from.has_worker_revision())
+    to.worker_revision = from.worker_revision();
   microseconds start_by{0};
   if (!Read(from.predicted_us(), to.predicted) ||
       !Read(from.start_by_us(), start_by) ||
--- a/src/wire/run_messages.cc
+++ b/src/wire/run_messages.cc
@@ -10,12 +10,12 @@
 constexpr std::array<std::string_view, 4> kRunEndNames{"done", "failed",
                                                        "refused", "lost"};
 // Indexed by run_reason.
-constexpr std::array<std::string_view, 13> kRunReasonNames{
+constexpr std::array<std::string_view, 14> kRunReasonNames{
     "none",           "no_worker",       "draining",
     "too_late",       "queued_too_long", "no_room",
     "worker_refused", "unanswered",      "stalled",
     "lease_lapsed",   "worker_lost",     "entry_silent",
-    "evacuated"};
+    "evacuated",      "worker_changed"};
 
 }  // namespace
 
--- a/src/wire/tests/run_codec_test.cc
+++ b/src/wire/tests/run_codec_test.cc
@@ -21,7 +21,7 @@
   beat.sequence = 9;
   beat.failure_domain = "palermo";
   beat.members_hash = 77;
-  beat.worker.push_back({"w", "gas", {"a", "r1"}, {16000, 32768, 1}});
+  beat.worker.push_back({"w", "gas", {"a", "r1"}, {16000, 32768, 1}, 77});
   beat.draining = true;
   beat.settled = true;
   beat.evacuations_hash = 88;
@@ -33,6 +33,9 @@
   frame.messages.emplace_back(run_report{6, 2, 3, run_end::kRefused,
                                          run_reason::kEvacuated,
                                          microseconds(7), microseconds(0)});
+  frame.messages.emplace_back(run_report{7, 2, 3, run_end::kRefused,
+                                         run_reason::kWorkerChanged,
+                                         microseconds(7), microseconds(0)});
   return frame;
 }
 
@@ -58,6 +61,7 @@
   dispatch.target = microseconds(-5);
   dispatch.queue_bound = milliseconds(100);
   dispatch.virtual_deadline = microseconds(-7);
+  dispatch.worker_revision = 77;
   frame.messages.emplace_back(dispatch);
   frame.messages.emplace_back(run_cancel{5, {1, 2}});
   return frame;
