Let the soak hold requests up during cuts and replace workers by others

The soak learns two disruptions. hold_requests cuts an entry off and delivers what callers sent to it after the cut, the end of the connection a round trip behind; callers reach entries through relays for it. replace_worker replaces a worker by one of another id, perhaps without the label that every third job now requires, often while an entry stands still.

--- a/src/soak/callers.cc
+++ b/src/soak/callers.cc
@@ -26,6 +26,8 @@
 constexpr int kMinLongTaskMs = 800;
 constexpr int kMaxLongTaskMs = 2500;
 constexpr int kMinStayMs = 100;
+// One job of so many requires kWorkerLabel.
+constexpr std::uint64_t kJobsPerLabel = 3;
 
 }  // namespace
 
@@ -81,7 +83,12 @@
   scheduler::job_submission job;
   job.path = "/find/" + std::string(key.data());
   job.deadline = deadline;
-  job.spec = R"({"ms":)" + std::to_string(task_ms) + R"(,"cpu":1600})";
+  job.spec = R"({"ms":)" + std::to_string(task_ms) + R"(,"cpu":1600)";
+  if (last_job_number_ % kJobsPerLabel == 0) {
+    step.required_label = kWorkerLabel;
+    job.spec += R"(,"label":")" + step.required_label + "\"";
+  }
+  job.spec += "}";
   job.steps.push_back(step);
   const net::http_request request = standins::EncodeSubmission(job);
   bool earlier_attempts_not_sent = true;
--- a/src/soak/deployment.cc
+++ b/src/soak/deployment.cc
@@ -58,6 +58,8 @@
       entries_(static_cast<std::size_t>(options_.entry_count)),
       agents_(static_cast<std::size_t>(options_.agent_count)),
       workers_(static_cast<std::size_t>(options_.agent_count)),
+      worker_labels_(static_cast<std::size_t>(options_.agent_count),
+                     std::string(kWorkerLabel)),
       client_(net::http_client::Create({})),
       report_ports_(static_cast<std::size_t>(options_.agent_count)),
       internal_ports_(static_cast<std::size_t>(options_.entry_count)),
@@ -121,6 +123,7 @@
     entry.settings_path = options_.work_folder + "/" + entry.name + ".toml";
     entry.ports_path = options_.work_folder + "/" + entry.name + ".ports";
     entry.fault_relay = relays_->Open();
+    entry.caller_relay = relays_->Open();
     const std::string text =
         "role = \"job_entry\"\n[job_entry]\nid = \"" + entry.name +
         "\"\nfailure_domain = \"" +
@@ -180,6 +183,7 @@
   options.birth_offset = birth_offset;
   options.keeps_id = options_.workers_keep_ids;
   options.random_seed = options_.seed * 1000 + index;
+  options.label = worker_labels_[index];
   auto started = standins::lease_worker::Start(options, history_);
   if (!started) {
     history_.AddViolation("worker did not start: " +
@@ -361,6 +365,7 @@
     internal_ports_[index] = ReadPort(entries_[index].ports_path, "internal");
     if (agents != 0)
       entries_[index].fault_relay->SetTarget(agents);
+    entries_[index].caller_relay->SetTarget(jobs);
     const std::lock_guard lock(mutex_);
     jobs_ports_[index] = jobs;
   }
@@ -382,13 +387,21 @@
     EndEvacuation(domain);
   store_relay_->CloseConnections();
   for (std::size_t index = 0; index < workers_.size(); ++index) {
+    const int number = static_cast<int>(index);
+    if (workers_[index] && worker_labels_[index] != kWorkerLabel)
+      CrashWorker(number);
+    SetWorkerLabel(number, std::string(kWorkerLabel));
     if (!workers_[index])
-      StartWorker(static_cast<int>(index));
+      StartWorker(number);
     workers_[index]->SetFaults({});
   }
   for (auto* group : {&entries_, &agents_}) {
     for (daemon& target : *group) {
       target.fault_relay->BlackholeNewConnections(false);
+      if (target.caller_relay) {
+        target.caller_relay->BlackholeNewConnections(false);
+        target.caller_relay->Hold(false, milliseconds(0));
+      }
       target.fault_relay->SetDelay(milliseconds(0));
       target.fault_relay->RefuseConnections(false);
       if (target.paused)
@@ -404,7 +417,7 @@
   const std::lock_guard lock(mutex_);
   if (jobs_ports_[entry] == 0)
     return std::nullopt;
-  return net::tcp_address{"127.0.0.1", jobs_ports_[entry]};
+  return net::tcp_address{"127.0.0.1", entries_[entry].caller_relay->port()};
 }
 
 }  // namespace egretrack::soak
--- a/src/soak/deployment.h
+++ b/src/soak/deployment.h
@@ -6,6 +6,8 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "egretrack/base/result.h"
@@ -21,6 +23,8 @@
 
 // Agent n is in the failure domain n modulo this number.
 inline constexpr int kDomainCount = 3;
+// Label of the workers until one is replaced, which some jobs require.
+inline constexpr std::string_view kWorkerLabel = "a";
 
 struct deployment_options {
   std::string program_folder;  // Contains egretrackd.
@@ -47,6 +51,8 @@
   std::string ports_path;  // File to which the process writes its ports.
   // Of an entry: from the agents to the entry. Of an agent: to its worker.
   std::unique_ptr<standins::relay> fault_relay;
+  // Of an entry: from its callers to the entry.
+  std::unique_ptr<standins::relay> caller_relay;
   std::optional<standins::child_process> process;
   bool paused = false;
   monotonic_time paused_until{};
@@ -78,8 +84,11 @@
   // Ends the worker, cuts its connections and refuses new ones.
   void CrashWorker(int number);
   // Replaces the worker with a new incarnation, which gives a time of birth
-  // that is off by `birth_offset`.
+  // that is off by `birth_offset`. It has the label that was set last.
   void StartWorker(int number, milliseconds birth_offset = milliseconds(0));
+  void SetWorkerLabel(int number, std::string label) {
+    worker_labels_[static_cast<std::size_t>(number)] = std::move(label);
+  }
   // Sends the agent a report of a worker that does not exist.
   void SendOddReport(int number, bool worker_id);
   // Publishes a new configuration version with another deadline.
@@ -127,6 +136,7 @@
   std::vector<daemon> entries_;
   std::vector<daemon> agents_;
   std::vector<std::unique_ptr<standins::lease_worker>> workers_;
+  std::vector<std::string> worker_labels_;  // By agent.
   std::unique_ptr<net::http_client> client_;
   std::vector<std::uint16_t> report_ports_;    // By agent; 0 if not known.
   std::vector<std::uint16_t> internal_ports_;  // By entry; 0 if not known.
--- a/src/soak/faults.cc
+++ b/src/soak/faults.cc
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-const std::array<fault_injector::fault_kind, 30> fault_injector::kFaultKinds{{
+const std::array<fault_injector::fault_kind, 32> fault_injector::kFaultKinds{{
     fault_kind{"kill_entry", &fault_injector::KillEntry},
     fault_kind{"kill_agent", &fault_injector::KillAgent},
     fault_kind{"restart_entry", &fault_injector::RestartEntry},
@@ -48,6 +48,8 @@
     fault_kind{"evacuate", &fault_injector::EvacuateDomain},
     fault_kind{"silence_all", &fault_injector::SilenceAll},
     fault_kind{"crash_at_start", &fault_injector::CrashAtStart},
+    fault_kind{"replace_worker", &fault_injector::ReplaceWorker},
+    fault_kind{"hold_requests", &fault_injector::HoldRequests},
 }};
 
 fault_injector::fault_injector(deployment& system,
@@ -244,6 +246,31 @@
   }
 }
 
+// The entry is cut off from callers and agents. Requests that were sent on open
+// connections arrive up to as long after the cut as it took, and the ends of
+// their connections a round trip later.
+void fault_injector::HoldRequests(monotonic_time now) {
+  const milliseconds cut = RandomDuration(1500, 4000);
+  const milliseconds repeated_after =
+      RandomDuration(0, static_cast<int>(cut.count()));
+  const milliseconds round_trip = RandomDuration(5, 150);
+  daemon* entry = PickRunning(system_.entries());
+  if (entry == nullptr)
+    return;
+  standins::relay* callers = entry->caller_relay.get();
+  standins::relay* agents = entry->fault_relay.get();
+  callers->Hold(true, round_trip);
+  callers->BlackholeNewConnections(true);
+  agents->BlackholeConnections();
+  agents->BlackholeNewConnections(true);
+  ScheduleAt(now + cut, [callers, agents] {
+    callers->BlackholeNewConnections(false);
+    agents->BlackholeNewConnections(false);
+  });
+  ScheduleAt(now + cut + repeated_after,
+             [callers, round_trip] { callers->Hold(false, round_trip); });
+}
+
 // ---- Store ----------------------------------------------------------------
 
 void fault_injector::DisturbStore(monotonic_time now) {
@@ -291,6 +318,29 @@
   });
 }
 
+// By a worker of another id, which may lack the label that tasks require.
+// An entry often stands still meanwhile, with dispatches under way.
+void fault_injector::ReplaceWorker(monotonic_time now) {
+  const int number = PickWorker();
+  const milliseconds down_time = RandomDuration(0, 300);
+  const bool has_label = RandomInt(0, 1) == 1;
+  const bool pauses = RandomInt(0, 1) == 1;
+  const milliseconds pause = RandomDuration(300, 1500);
+  if (system_.worker(number) == nullptr)
+    return;
+  if (pauses) {
+    if (daemon* entry = PickRunning(system_.entries()))
+      system_.Pause(*entry, now, pause);
+  }
+  system_.CrashWorker(number);
+  system_.SetWorkerLabel(number,
+                         has_label ? std::string(kWorkerLabel) : "other");
+  ScheduleAt(now + down_time, [this, number] {
+    if (system_.worker(number) == nullptr)
+      system_.StartWorker(number);
+  });
+}
+
 void fault_injector::OddReport(monotonic_time /*now*/) {
   system_.SendOddReport(PickWorker(), RandomInt(0, 1) == 1);
 }
--- a/src/soak/faults.h
+++ b/src/soak/faults.h
@@ -37,7 +37,7 @@
     const char* name;
     inject_function inject;
   };
-  static const std::array<fault_kind, 30> kFaultKinds;
+  static const std::array<fault_kind, 32> kFaultKinds;
 
   void KillEntry(monotonic_time now);
   void RestartEntry(monotonic_time now);
@@ -69,6 +69,8 @@
   void SlowWorkerCalls(monotonic_time now);
   void EvacuateDomain(monotonic_time now);
   void CrashAtStart(monotonic_time now);
+  void ReplaceWorker(monotonic_time now);
+  void HoldRequests(monotonic_time now);
 
   // Ends the workers that have crashed, and has them started again.
   void ReplaceCrashedWorkers(monotonic_time now);
--- a/src/standins/relay.cc
+++ b/src/standins/relay.cc
@@ -59,12 +59,14 @@
   tcp::socket& sink;
   asio::steady_timer timer;
   std::array<char, kBufferBytes> buffer{};
+  std::size_t held_bytes = 0;  // Of `buffer`, while the relay holds.
 };
 
 // How a relay modifies the traffic of its connections.
 struct relay_settings {
   milliseconds delay{0};
   bool duplicate = false;
+  bool holding = false;
 };
 
 // A client connection and its connection to the target. Pending operations keep
@@ -99,6 +101,23 @@
 
   void Blackhole() { blackholed_ = true; }
 
+  // Delivers what was held. Ends are read only afterwards.
+  void Release(milliseconds end_delay) {
+    for (auto* direction : {&client_to_target_, &target_to_client_}) {
+      const std::size_t size = std::exchange(direction->held_bytes, 0);
+      if (size > 0)
+        WriteBeforeEnd(*direction, size, end_delay);
+    }
+    if (!closed_while_held_)
+      return;
+    client_to_target_.timer.expires_after(end_delay);
+    client_to_target_.timer.async_wait(
+        [self = shared_from_this()](const error_code& code) {
+          if (!code)
+            self->Close();
+        });
+  }
+
   void Close() {
     error_code ignored;
     client_.close(ignored);
@@ -139,6 +158,10 @@
 
   // A blackholed connection does not notify the other side of the close.
   void HandleClosed(traffic_direction& direction) {
+    if (settings_->holding && !blackholed_) {
+      closed_while_held_ = true;
+      return;
+    }
     if (!blackholed_) {
       Close();
       return;
@@ -152,6 +175,11 @@
       Read(direction);
       return;
     }
+    // Without a read, the end of the connection is not noticed either.
+    if (settings_->holding) {
+      direction.held_bytes = size;
+      return;
+    }
     if (settings_->delay.count() == 0) {
       Write(direction, size);
       return;
@@ -182,12 +210,31 @@
                       });
   }
 
+  void WriteBeforeEnd(traffic_direction& direction,
+                      std::size_t size,
+                      milliseconds end_delay) {
+    asio::async_write(direction.sink,
+                      asio::buffer(direction.buffer.data(), size),
+                      [self = shared_from_this(), &direction, end_delay](
+                          const error_code& code, std::size_t) {
+                        if (code)
+                          return self->HandleClosed(direction);
+                        direction.timer.expires_after(end_delay);
+                        direction.timer.async_wait(
+                            [self, &direction](const error_code& cancelled) {
+                              if (!cancelled)
+                                self->Read(direction);
+                            });
+                      });
+  }
+
   tcp::socket client_;
   tcp::socket target_;
   std::shared_ptr<const relay_settings> settings_;
   traffic_direction client_to_target_;
   traffic_direction target_to_client_;
   bool blackholed_ = false;
+  bool closed_while_held_ = false;
 };
 
 // State of a relay, accessed by the hub's thread only.
@@ -213,6 +260,13 @@
   void SetDelay(milliseconds delay) { settings_->delay = delay; }
   void SetDuplicate(bool enabled) { settings_->duplicate = enabled; }
 
+  void Hold(bool enabled, milliseconds end_delay) {
+    if (!std::exchange(settings_->holding, enabled) || enabled)
+      return;
+    for (const auto& item : connections_)
+      item->Release(end_delay);
+  }
+
   void CloseConnections() {
     for (const auto& item : connections_)
       item->Close();
@@ -311,6 +365,10 @@
   void SetDelay(milliseconds delay) override {
     RunOnHubThread([this, delay] { state_->SetDelay(delay); });
   }
+  void Hold(bool enabled, milliseconds end_delay) override {
+    RunOnHubThread(
+        [this, enabled, end_delay] { state_->Hold(enabled, end_delay); });
+  }
   void SetDuplicate(bool enabled) override {
     RunOnHubThread([this, enabled] { state_->SetDuplicate(enabled); });
   }
