--- a/src/scheduler/job_scheduler_impl.h
+++ b/src/scheduler/job_scheduler_impl.h
@@ -127,8 +127,7 @@
   void CacheAnswer(const scheduled_job& job, job_state state, job_errc code);
   void ExpireDeadlines();
 
-  // ---- job_scheduler_delays.cc: submissions that were long under way
-  // ---------
+  // ---- job_scheduler_delays.cc: submissions that may have been delayed ------
   bool MayBeDelayed(const job_submission& event);
   void DelaySubmission(job_submission& event);
   // Handles the delayed submission whose caller was seen, if there is one.
