--- a/src/scheduler/job_scheduler_agents.cc
+++ b/src/scheduler/job_scheduler_agents.cc
@@ -59,7 +59,6 @@
   // frames.
   if (event.link != view.link) {
     view.link = event.link;
-    view.last_contact = now_;
     wire::beat_reply reply;
     reply.reconnect = true;
     view.outgoing.emplace_back(std::move(reply));
@@ -93,7 +92,6 @@
     reply.reconnect = true;
     send.frame.messages.emplace_back(std::move(reply));
   }
-  view.last_contact = now_;
   view.last_sent = now_;
   Emit(std::move(send));
 }
--- a/src/scheduler/tests/system_model.cc
+++ b/src/scheduler/tests/system_model.cc
@@ -19,8 +19,8 @@
 constexpr milliseconds kLongestLease{1000};
 constexpr milliseconds kStopTime{50};
 constexpr milliseconds kReportInterval{1500};
-constexpr milliseconds kShortestSlack{
-    150};  // From a job's work to its deadline.
+// From the end of a job's work to its deadline, at the least.
+constexpr milliseconds kShortestSlack{150};
 constexpr milliseconds kLongestDeadline{2500};
 constexpr milliseconds kTick{2};
 // Until the end of a connection, or an answer to a look at it, has passed from
--- a/src/soak/faults.cc
+++ b/src/soak/faults.cc
@@ -318,8 +318,9 @@
   });
 }
 
-// By a worker of another id, which may lack the label that tasks require.
-// An entry often stands still meanwhile, with dispatches under way.
+// Unless workers keep their ids, the next one has another. It may lack the
+// label that tasks require. An entry often stands still meanwhile, with
+// dispatches under way.
 void fault_injector::ReplaceWorker(monotonic_time now) {
   const int number = PickWorker();
   const milliseconds down_time = RandomDuration(0, 300);
--- a/src/standins/relay.h
+++ b/src/standins/relay.h
@@ -32,9 +32,9 @@
   virtual void BlackholeNewConnections(bool enabled) = 0;
   // Delays all bytes by this time and keeps their order.
   virtual void SetDelay(milliseconds delay) = 0;
-  // While enabled, nothing passes on the existing connections. What was sent
-  // meanwhile is delivered when it is disabled, and the end of a connection
-  // `end_delay` behind, as TCP does it after a cut.
+  // While enabled, nothing passes on the existing connections. When it is
+  // disabled, what was sent meanwhile is delivered, and the end of a connection
+  // `end_delay` behind it, as TCP does it after a cut.
   virtual void Hold(bool enabled, milliseconds end_delay) = 0;
   // Forwards every chunk twice. If the sender writes one message at a time, the
   // receiver gets each message twice. Use it after the handshake and with
